--- /dev/null
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/Arrowarch.java
@@ -0,0 +1,23 @@
+package io.arrowarch.cli;
+
+import com.google.common.collect.ImmutableMap;
+
+/** The program {@code arrowarch}. */
+public final class Arrowarch {
+  private Arrowarch() {}
+
+  /** Runs a subcommand and exits with its {@link ExitCode}. */
+  public static void main(String[] arguments) {
+    Logging.configure(LogFormat.TEXT);
+    CommandLine commandLine =
+        new CommandLine(
+            "arrowarch",
+            ImmutableMap.of(
+                "serve", new ServeCommand(),
+                "check", new CheckCommand(),
+                "query", new QueryCommand(),
+                "status", new StatusCommand(),
+                "explain", new ExplainCommand()));
+    System.exit(commandLine.run(arguments, System.out, System.err).code());
+  }
+}
--- /dev/null
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/ArrowarchEmulator.java
@@ -0,0 +1,23 @@
+package io.arrowarch.cli;
+
+import com.google.common.collect.ImmutableMap;
+
+/** The program {@code arrowarch-emulator}. */
+public final class ArrowarchEmulator {
+  private ArrowarchEmulator() {}
+
+  /** Runs a subcommand and exits with its {@link ExitCode}. */
+  public static void main(String[] arguments) {
+    Logging.configure(LogFormat.TEXT);
+    CommandLine commandLine =
+        new CommandLine(
+            "arrowarch-emulator",
+            ImmutableMap.of(
+                "platform", new EmulatedPlatformCommand(),
+                "backend", new EmulatedBackendCommand(),
+                "deployment", new DeploymentCommand(),
+                "ports", new PortsCommand(),
+                "load", new LoadCommand()));
+    System.exit(commandLine.run(arguments, System.out, System.err).code());
+  }
+}
--- /dev/null
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/DeploymentCommand.java
@@ -0,0 +1,59 @@
+package io.arrowarch.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
+import com.fasterxml.jackson.dataformat.yaml.YAMLGenerator;
+import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import com.google.common.collect.ImmutableMap;
+import io.arrowarch.core.config.ConfigurationDocument;
+import io.arrowarch.emulator.FreePorts;
+import io.arrowarch.emulator.SampleDeployments;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
+import java.util.function.IntSupplier;
+
+/** {@code arrowarch-emulator deployment}: prints the document of a sample deployment. */
+@Parameters(commandDescription = "Prints a sample document: demo, nordeste or slovakia")
+final class DeploymentCommand implements Command {
+  private static final ImmutableMap<String, Function<IntSupplier, ConfigurationDocument>>
+      DEPLOYMENTS =
+          ImmutableMap.of(
+              "demo", SampleDeployments::demo,
+              "nordeste", SampleDeployments::nordeste,
+              "slovakia", SampleDeployments::slovakia);
+  private static final YAMLMapper YAML =
+      YAMLMapper.builder(
+              new YAMLFactory()
+                  .disable(YAMLGenerator.Feature.WRITE_DOC_START_MARKER)
+                  .enable(YAMLGenerator.Feature.MINIMIZE_QUOTES))
+          .addModule(new Jdk8Module())
+          .build();
+
+  @Parameter(description = "NAME", required = true)
+  private String name;
+
+  @Parameter(names = "--first-port", description = "Numbers ports from here; else free ones")
+  private Integer firstPort;
+
+  @Override
+  public ExitCode run(PrintStream out, PrintStream err) throws CommandException {
+    Function<IntSupplier, ConfigurationDocument> deployment = DEPLOYMENTS.get(name);
+    if (deployment == null) {
+      throw new CommandException("no deployment is named '" + name + "'");
+    }
+    try (FreePorts free = new FreePorts()) {
+      IntSupplier ports = firstPort == null ? free : new AtomicInteger(firstPort)::getAndIncrement;
+      out.print(YAML.writeValueAsString(deployment.apply(ports)));
+      return ExitCode.OK;
+    } catch (JsonProcessingException e) {
+      throw new CommandException("cannot write the document", e);
+    } catch (IOException e) {
+      throw new CommandException("no free port: " + e.getMessage(), e);
+    }
+  }
+}
--- /dev/null
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/Processes.java
@@ -0,0 +1,59 @@
+package io.arrowarch.cli;
+
+import io.vertx.core.Deployable;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Supplier;
+
+/** Runs a server process: deploys it, waits for SIGTERM or SIGINT, stops it in order. */
+final class Processes {
+  /** Longer than the largest deadline, after which no query can be in progress. */
+  private static final Duration LONGEST_STOP = Duration.ofSeconds(75);
+
+  private static final int EVENT_LOOPS = 1;
+
+  private Processes() {}
+
+  /** Deploys a server and returns only when the process is told to stop. */
+  static void runUntilStopped(Deployable server, Supplier<Future<Void>> drain)
+      throws CommandException {
+    Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(EVENT_LOOPS));
+    try {
+      vertx.deployVerticle(server).toCompletionStage().toCompletableFuture().get();
+    } catch (ExecutionException e) {
+      vertx.close();
+      throw new CommandException("cannot start: " + e.getCause().getMessage(), e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new CommandException("interrupted while starting", e);
+    }
+    CountDownLatch never = new CountDownLatch(1);
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(vertx, drain), "stop"));
+    try {
+      never.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static void stop(Vertx vertx, Supplier<Future<Void>> drain) {
+    try {
+      drain
+          .get()
+          .toCompletionStage()
+          .toCompletableFuture()
+          .get(LONGEST_STOP.toMillis(), TimeUnit.MILLISECONDS);
+    } catch (ExecutionException | TimeoutException e) {
+      System.err.println("Node: stopped out of order: " + e.getMessage());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    vertx.close();
+  }
+}
--- /dev/null
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/error/Executed.java
@@ -0,0 +1,22 @@
+package io.arrowarch.core.error;
+
+/** Whether a request ran on any back end, as far as the router can prove it. */
+public enum Executed {
+  /** At least one back end answered that it ran the request. */
+  YES("yes"),
+  /** Every attempt is proven not to have run: never written, or refused with the not-run mark. */
+  NO("no"),
+  /** Nothing is proven: an attempt was written and its outcome was not seen. */
+  UNKNOWN("unknown");
+
+  private final String wireName;
+
+  Executed(String wireName) {
+    this.wireName = wireName;
+  }
+
+  /** The lower-case name used in answers and headers. */
+  public String wireName() {
+    return wireName;
+  }
+}
--- /dev/null
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/hedge/AdaptiveHedgePolicy.java
@@ -0,0 +1,24 @@
+package io.arrowarch.core.hedge;
+
+/** See {@link HedgePolicy#adaptive}. */
+final class AdaptiveHedgePolicy implements HedgePolicy {
+  private static final double QUANTILE = 0.95;
+  private static final double FACTOR = 1.5;
+
+  /** Until latencies are known, a hedge starts in time to help within the deadline. */
+  private static final int FALLBACK_DEADLINE_PARTS = 4;
+
+  private static final long MINIMUM_NANOS = 1_000_000;
+
+  @Override
+  public long delayNanos(LatencyTracker latencies, long deadlineNanos) {
+    long fallback = deadlineNanos / FALLBACK_DEADLINE_PARTS;
+    double delay = FACTOR * latencies.quantileNanos(QUANTILE, fallback);
+    return Math.max(MINIMUM_NANOS, (long) delay);
+  }
+
+  @Override
+  public boolean isBudgeted() {
+    return true;
+  }
+}
--- /dev/null
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/hedge/LatencyTracker.java
@@ -0,0 +1,50 @@
+package io.arrowarch.core.hedge;
+
+import java.time.Duration;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Latencies of successful attempts of one query kind over the last one to two windows. Values are
+ * microseconds.
+ */
+public final class LatencyTracker {
+  private static final long WINDOW_NANOS = Duration.ofSeconds(5).toNanos();
+  private static final long MAXIMUM_MICROS = Duration.ofMinutes(2).toNanos() / 1_000;
+  private static final int SIGNIFICANT_DIGITS = 2;
+  private static final int MINIMUM_SAMPLES = 50;
+
+  private Histogram current = new Histogram(MAXIMUM_MICROS, SIGNIFICANT_DIGITS);
+  private Histogram previous = new Histogram(MAXIMUM_MICROS, SIGNIFICANT_DIGITS);
+  private long windowStartNanos;
+
+  /** Takes the latency of an attempt that answered. */
+  public void record(long latencyNanos, long nowNanos) {
+    rotateIfDue(nowNanos);
+    current.recordValue(Math.min(MAXIMUM_MICROS, Math.max(1, latencyNanos / 1_000)));
+  }
+
+  /**
+   * A quantile of the window with enough samples.
+   *
+   * @param quantile from 0 to 1
+   * @param fallbackNanos returned while there are too few samples
+   */
+  public long quantileNanos(double quantile, long fallbackNanos) {
+    Histogram source = current.getTotalCount() >= MINIMUM_SAMPLES ? current : previous;
+    if (source.getTotalCount() < MINIMUM_SAMPLES) {
+      return fallbackNanos;
+    }
+    return source.getValueAtPercentile(100 * quantile) * 1_000;
+  }
+
+  private void rotateIfDue(long nowNanos) {
+    if (nowNanos - windowStartNanos < WINDOW_NANOS) {
+      return;
+    }
+    Histogram oldest = previous;
+    previous = current;
+    oldest.reset();
+    current = oldest;
+    windowStartNanos = nowNanos;
+  }
+}
--- /dev/null
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/membership/MemberTable.java
@@ -0,0 +1,69 @@
+package io.arrowarch.core.membership;
+
+import com.google.common.collect.ImmutableList;
+import io.arrowarch.core.peer.MemberRecord;
+import io.arrowarch.core.peer.MemberRecord.State;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/** The other routers that this one knows, with the newest claim about each. */
+final class MemberTable {
+  /**
+   * Dead members are kept, so that an old claim cannot bring them back and a heal can find them.
+   */
+  private static final Duration DEAD_RETENTION = Duration.ofMinutes(10);
+
+  private final Map<String, Entry> entries = new LinkedHashMap<>();
+
+  private record Entry(MemberRecord record, long sinceNanos) {}
+
+  /** Takes a claim; returns whether it changed the table. */
+  boolean merge(MemberRecord claim, long nowNanos) {
+    Entry known = entries.get(claim.id());
+    if (known != null && !claim.overrides(known.record())) {
+      return false;
+    }
+    entries.put(claim.id(), new Entry(claim, nowNanos));
+    return true;
+  }
+
+  Optional<MemberRecord> find(String id) {
+    return Optional.ofNullable(entries.get(id)).map(Entry::record);
+  }
+
+  ImmutableList<MemberRecord> all() {
+    return entries.values().stream().map(Entry::record).collect(ImmutableList.toImmutableList());
+  }
+
+  ImmutableList<MemberRecord> reachable() {
+    return all().stream()
+        .filter(member -> member.state() != State.DEAD)
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  ImmutableList<MemberRecord> dead() {
+    return all().stream()
+        .filter(member -> member.state() == State.DEAD)
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  /** Suspects whose time to refute is over. */
+  ImmutableList<MemberRecord> overdueSuspects(Duration timeToRefute, long nowNanos) {
+    return entries.values().stream()
+        .filter(entry -> entry.record().state() == State.SUSPECT)
+        .filter(entry -> nowNanos - entry.sinceNanos() >= timeToRefute.toNanos())
+        .map(Entry::record)
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  void forgetLongDead(long nowNanos) {
+    entries
+        .values()
+        .removeIf(
+            entry ->
+                entry.record().state() == State.DEAD
+                    && nowNanos - entry.sinceNanos() >= DEAD_RETENTION.toNanos());
+  }
+}
--- /dev/null
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/membership/Membership.java
@@ -0,0 +1,318 @@
+package io.arrowarch.core.membership;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import io.arrowarch.core.peer.DrainMark;
+import io.arrowarch.core.peer.MemberRecord;
+import io.arrowarch.core.peer.MemberRecord.State;
+import io.arrowarch.core.peer.PeerBody;
+import io.arrowarch.core.peer.PeerMessage;
+import io.arrowarch.core.peer.PeerTransport;
+import io.arrowarch.core.time.RouterClock;
+import io.arrowarch.core.time.TimerQueue;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+/**
+ * Which routers there are, after the SWIM protocol: each period one member is pinged, directly and
+ * then through others; one that does not answer is suspected, and dead when it does not refute
+ * that. News rides on pings and acks, so that the cost per node does not grow with the fleet.
+ *
+ * <p>Nothing that must hold depends on this view: it finds addresses and spreads news. The right to
+ * serve is decided by {@code quorum}.
+ */
+public final class Membership {
+  static final Duration PERIOD = Duration.ofSeconds(1);
+  static final Duration TIME_TO_REFUTE = Duration.ofSeconds(4);
+  private static final Duration DIRECT_ACK_TIMEOUT = Duration.ofMillis(400);
+  private static final int INDIRECT_PINGS = 2;
+  private static final int NEWS_PER_MESSAGE = 8;
+  private static final int NEWS_FOR_JOINER = 64;
+  private static final int DRAINS_PER_MESSAGE = 8;
+
+  /** One period in this many also pings an address that is not known to be alive. */
+  private static final int PERIODS_PER_REJOIN_PING = 5;
+
+  private final RouterClock clock;
+  private final TimerQueue timers;
+  private final RandomGenerator random;
+  private final PeerTransport transport;
+  private final NewsSource newsSource;
+  private final MemberTable table = new MemberTable();
+  private final RumourQueue<String, MemberRecord> memberRumours = new RumourQueue<>();
+  private final RumourQueue<DrainMark, DrainMark> drainRumours = new RumourQueue<>();
+  private final Set<String> contactAddresses = new LinkedHashSet<>();
+  private final Deque<String> pingOrder = new ArrayDeque<>();
+  private final Map<Long, Runnable> ackHandlers = new HashMap<>();
+  private MemberRecord self;
+  private boolean superseded;
+  private long nextNumber = 1;
+  private long periods;
+
+  /** Supplies the configuration ids that ride on every message. */
+  public interface NewsSource {
+    /** News without members and drains. */
+    PeerBody.News configurationNews();
+  }
+
+  /**
+   * Creates the view of one router.
+   *
+   * @param contacts peer addresses from the settings, tried until members are known
+   */
+  public Membership(
+      MemberRecord self,
+      List<String> contacts,
+      RouterClock clock,
+      TimerQueue timers,
+      RandomGenerator random,
+      PeerTransport transport,
+      NewsSource newsSource) {
+    this.self = self;
+    this.clock = clock;
+    this.timers = timers;
+    this.random = random;
+    this.transport = transport;
+    this.newsSource = newsSource;
+    addContacts(contacts);
+  }
+
+  /** Pings every contact and starts the periods. */
+  public void start() {
+    contactAddresses.forEach(address -> ping(address, () -> {}));
+    schedulePeriod();
+  }
+
+  /** Adds addresses to try, for example from the platform's list. */
+  public void addContacts(List<String> addresses) {
+    contactAddresses.addAll(addresses);
+    contactAddresses.remove(self.address());
+  }
+
+  /** Tells the others that this router is stopping. */
+  public void leave() {
+    self = self.refuted(self.sequence() + 1, State.LEAVING);
+    memberRumours.add(self.id(), self);
+    reachable().forEach(member -> ping(member.address(), () -> {}));
+  }
+
+  /** Passes on that an incarnation of a back end is leaving. */
+  public void tellDrain(DrainMark mark) {
+    drainRumours.add(mark, mark);
+  }
+
+  /** The record of this router. */
+  public MemberRecord self() {
+    return self;
+  }
+
+  /** Whether a later incarnation of this router is known, so that this one must not serve. */
+  public boolean isSuperseded() {
+    return superseded;
+  }
+
+  /** All others, dead ones included. */
+  public ImmutableList<MemberRecord> members() {
+    return table.all();
+  }
+
+  /** The others that are not known to be dead. */
+  public ImmutableList<MemberRecord> reachable() {
+    return table.reachable();
+  }
+
+  /** The newest claim about one router. */
+  public Optional<MemberRecord> find(String id) {
+    return id.equals(self.id()) ? Optional.of(self) : table.find(id);
+  }
+
+  /** A few random reachable members, for pushing news. */
+  public ImmutableList<MemberRecord> sample(int size) {
+    List<MemberRecord> shuffled = new ArrayList<>(reachable());
+    shuffle(shuffled);
+    return ImmutableList.copyOf(shuffled.subList(0, Math.min(size, shuffled.size())));
+  }
+
+  /** Sends a body under this router's name. */
+  public void send(String address, PeerBody body) {
+    transport.send(address, new PeerMessage(self, body));
+  }
+
+  /** Learns of the sender of any message. Must be called for each before its body is handled. */
+  public void onSender(MemberRecord sender) {
+    learn(sender);
+  }
+
+  /** Handles a ping; a joiner or a member back from the dead is told of everyone. */
+  public void onPing(MemberRecord sender, PeerBody.Ping ping, boolean wasKnown) {
+    learnNews(ping.news());
+    int newsLimit = wasKnown ? NEWS_PER_MESSAGE : NEWS_FOR_JOINER;
+    PeerBody.News news = wasKnown ? news(newsLimit) : fullNews(newsLimit);
+    send(sender.address(), new PeerBody.Ack(ping.number(), news));
+  }
+
+  /** Handles an ack to a ping of this router, or one passed on by another. */
+  public void onAck(PeerBody.Ack ack) {
+    learnNews(ack.news());
+    Runnable handler = ackHandlers.remove(ack.number());
+    if (handler != null) {
+      handler.run();
+    }
+  }
+
+  /** Pings a target for another router and passes the ack on. */
+  public void onPingRequest(MemberRecord sender, PeerBody.PingRequest request) {
+    ping(
+        request.targetAddress(),
+        () -> send(sender.address(), new PeerBody.Ack(request.number(), news(NEWS_PER_MESSAGE))));
+  }
+
+  /** Whether the sender was known and not dead, before {@link #onSender} is called for it. */
+  public boolean isKnown(MemberRecord sender) {
+    return table.find(sender.id()).filter(known -> known.state() != State.DEAD).isPresent();
+  }
+
+  private void schedulePeriod() {
+    long half = PERIOD.toNanos() / 2;
+    long delay = half + random.nextLong(2 * half);
+    timers.schedule(clock.nanoTime() + delay, this::runPeriod);
+  }
+
+  private void runPeriod() {
+    schedulePeriod();
+    periods++;
+    long nowNanos = clock.nanoTime();
+    for (MemberRecord suspect : table.overdueSuspects(TIME_TO_REFUTE, nowNanos)) {
+      learn(suspect.withState(State.DEAD));
+    }
+    table.forgetLongDead(nowNanos);
+    nextPingTarget().ifPresent(this::probe);
+    if (periods % PERIODS_PER_REJOIN_PING == 0 || reachable().isEmpty()) {
+      pingUnreachable();
+    }
+  }
+
+  private Optional<MemberRecord> nextPingTarget() {
+    ImmutableList<MemberRecord> reachable = reachable();
+    if (reachable.isEmpty()) {
+      return Optional.empty();
+    }
+    Optional<MemberRecord> next = Optional.empty();
+    while (next.isEmpty()) {
+      if (pingOrder.isEmpty()) {
+        List<MemberRecord> order = new ArrayList<>(reachable);
+        shuffle(order);
+        order.forEach(member -> pingOrder.add(member.id()));
+      }
+      next = table.find(pingOrder.poll()).filter(member -> member.state() != State.DEAD);
+    }
+    return next;
+  }
+
+  private void probe(MemberRecord target) {
+    long number = ping(target.address(), () -> {});
+    timers.schedule(
+        clock.nanoTime() + DIRECT_ACK_TIMEOUT.toNanos(),
+        () -> {
+          if (ackHandlers.containsKey(number)) {
+            pingThroughOthers(number, target);
+          }
+        });
+    timers.schedule(
+        clock.nanoTime() + PERIOD.toNanos(),
+        () -> {
+          if (ackHandlers.remove(number) != null) {
+            suspect(target);
+          }
+        });
+  }
+
+  private void pingThroughOthers(long number, MemberRecord target) {
+    for (MemberRecord helper : sample(INDIRECT_PINGS + 1)) {
+      if (!helper.id().equals(target.id())) {
+        send(helper.address(), new PeerBody.PingRequest(number, target.address()));
+      }
+    }
+  }
+
+  private void suspect(MemberRecord target) {
+    Optional<MemberRecord> current = table.find(target.id());
+    if (current.isPresent() && current.get().state().compareTo(State.SUSPECT) < 0) {
+      learn(current.get().withState(State.SUSPECT));
+    }
+  }
+
+  private void pingUnreachable() {
+    List<String> addresses = new ArrayList<>(contactAddresses);
+    table.dead().forEach(member -> addresses.add(member.address()));
+    ImmutableSet<String> alive =
+        reachable().stream().map(MemberRecord::address).collect(ImmutableSet.toImmutableSet());
+    addresses.removeAll(alive);
+    if (!addresses.isEmpty()) {
+      ping(addresses.get(random.nextInt(addresses.size())), () -> {});
+    }
+  }
+
+  private long ping(String address, Runnable onAck) {
+    long number = nextNumber++;
+    ackHandlers.put(number, onAck);
+    timers.schedule(clock.nanoTime() + 2 * PERIOD.toNanos(), () -> ackHandlers.remove(number));
+    send(address, new PeerBody.Ping(number, news(NEWS_PER_MESSAGE)));
+    return number;
+  }
+
+  private PeerBody.News news(int limit) {
+    int size = table.all().size() + 1;
+    return newsWith(memberRumours.take(limit, size));
+  }
+
+  private PeerBody.News fullNews(int limit) {
+    return newsWith(sample(limit));
+  }
+
+  private PeerBody.News newsWith(ImmutableList<MemberRecord> members) {
+    PeerBody.News configuration = newsSource.configurationNews();
+    int size = table.all().size() + 1;
+    return new PeerBody.News(
+        configuration.inForce(),
+        configuration.accepted(),
+        members,
+        drainRumours.take(DRAINS_PER_MESSAGE, size));
+  }
+
+  private void learnNews(PeerBody.News news) {
+    news.members().forEach(this::learn);
+  }
+
+  private void learn(MemberRecord claim) {
+    if (claim.id().equals(self.id())) {
+      learnAboutSelf(claim);
+    } else if (table.merge(claim, clock.nanoTime())) {
+      memberRumours.add(claim.id(), claim);
+    }
+  }
+
+  private void learnAboutSelf(MemberRecord claim) {
+    if (claim.incarnation() > self.incarnation()) {
+      superseded = true;
+    } else if (claim.incarnation() == self.incarnation() && claim.overrides(self)) {
+      self = self.refuted(claim.sequence() + 1, self.state());
+      memberRumours.add(self.id(), self);
+    }
+  }
+
+  private void shuffle(List<?> list) {
+    Collections.shuffle(list, new Random(random.nextLong()));
+  }
+}
--- /dev/null
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/once/Ticket.java
@@ -0,0 +1,33 @@
+package io.arrowarch.core.once;
+
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * The right to have one non-repeatable request run, redeemable at one incarnation of one node.
+ *
+ * @param nodeId the node that issued it
+ * @param incarnation the incarnation of that node
+ * @param number unique within the incarnation, rising
+ */
+public record Ticket(String nodeId, long incarnation, long number) {
+  private static final Pattern FORM =
+      Pattern.compile("([A-Za-z0-9._-]{1,63})~([0-9]{1,18})~([0-9]{1,18})");
+
+  /** Parses the form of {@link #toString}. */
+  public static Optional<Ticket> parse(String text) {
+    Matcher matcher = FORM.matcher(text);
+    if (!matcher.matches()) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        new Ticket(
+            matcher.group(1), Long.parseLong(matcher.group(2)), Long.parseLong(matcher.group(3))));
+  }
+
+  @Override
+  public String toString() {
+    return nodeId + "~" + incarnation + "~" + number;
+  }
+}
--- /dev/null
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/peer/PeerBody.java
@@ -0,0 +1,88 @@
+package io.arrowarch.core.peer;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import io.arrowarch.core.config.ConfigurationId;
+import java.util.List;
+import java.util.Map;
+
+/** The bodies of {@link PeerMessage}. */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "type")
+@JsonSubTypes({
+  @JsonSubTypes.Type(value = PeerBody.Ping.class, name = "ping"),
+  @JsonSubTypes.Type(value = PeerBody.Ack.class, name = "ack"),
+  @JsonSubTypes.Type(value = PeerBody.PingRequest.class, name = "ping-request"),
+  @JsonSubTypes.Type(value = PeerBody.ConfirmRequest.class, name = "confirm-request"),
+  @JsonSubTypes.Type(value = PeerBody.ConfirmReply.class, name = "confirm-reply"),
+  @JsonSubTypes.Type(value = PeerBody.VersionNotice.class, name = "version-notice"),
+  @JsonSubTypes.Type(value = PeerBody.ConfigurationRequest.class, name = "configuration-request"),
+  @JsonSubTypes.Type(value = PeerBody.ConfigurationOffer.class, name = "configuration-offer")
+})
+public sealed interface PeerBody {
+
+  /**
+   * News that rides on pings and acks.
+   *
+   * @param inForce the configuration that the sender holds
+   * @param accepted the newest configuration that the sender knows to be accepted
+   */
+  record News(
+      ConfigurationId inForce,
+      ConfigurationId accepted,
+      List<MemberRecord> members,
+      List<DrainMark> drains) {
+    public News {
+      members = ImmutableList.copyOf(members);
+      drains = ImmutableList.copyOf(drains);
+    }
+  }
+
+  /** Asks whether a router is there. */
+  record Ping(long number, News news) implements PeerBody {}
+
+  /** Answers a ping, or passes on that the target of a {@link PingRequest} answered one. */
+  record Ack(long number, News news) implements PeerBody {}
+
+  /** Asks a third router to ping the target and to pass its ack on. */
+  record PingRequest(long number, String targetAddress) implements PeerBody {}
+
+  /**
+   * Asks a voter what configuration it holds.
+   *
+   * @param round repeated in the reply
+   * @param held what the asker holds
+   */
+  record ConfirmRequest(long round, ConfigurationId held) implements PeerBody {}
+
+  /**
+   * A voter's answer.
+   *
+   * @param voting whether it has recovered what earlier incarnations held and may be counted
+   * @param held what it holds; never goes back within an incarnation
+   * @param superseded whether it knows a later incarnation of the asker
+   * @param incarnations the newest incarnations of voters that it knows
+   */
+  record ConfirmReply(
+      long round,
+      boolean voting,
+      ConfigurationId held,
+      ConfigurationId accepted,
+      boolean superseded,
+      Map<String, Long> incarnations)
+      implements PeerBody {
+    public ConfirmReply {
+      incarnations = ImmutableMap.copyOf(incarnations);
+    }
+  }
+
+  /** Tells of a configuration that the receiver may want to ask for. */
+  record VersionNotice(ConfigurationId inForce) implements PeerBody {}
+
+  /** Asks for the configuration that the receiver holds. */
+  record ConfigurationRequest() implements PeerBody {}
+
+  /** A configuration document in canonical JSON. */
+  record ConfigurationOffer(String json) implements PeerBody {}
+}
--- /dev/null
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/query/QueryAnswer.java
@@ -0,0 +1,29 @@
+package io.arrowarch.core.query;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.collect.ImmutableList;
+import io.arrowarch.core.wire.SearchHit;
+import java.util.Optional;
+
+/**
+ * A successful answer. Its results all come from one layout and one index snapshot.
+ *
+ * @param layout layout id
+ * @param snapshot the index snapshot; empty for posts, which read no index
+ * @param hits merged search results, best first
+ * @param document the fetched document or the receipt of a post
+ */
+public record QueryAnswer(
+    String requestId,
+    String kind,
+    String layout,
+    Optional<Long> snapshot,
+    Coverage coverage,
+    ImmutableList<SearchHit> hits,
+    Optional<JsonNode> document) {
+
+  /** The same answer to a resend of the request. */
+  public QueryAnswer withRequestId(String resendId) {
+    return new QueryAnswer(resendId, kind, layout, snapshot, coverage, hits, document);
+  }
+}
--- /dev/null
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/query/QueryExecution.java
@@ -0,0 +1,369 @@
+package io.arrowarch.core.query;
+
+import com.google.common.collect.ImmutableList;
+import io.arrowarch.core.config.Operation;
+import io.arrowarch.core.error.ErrorKind;
+import io.arrowarch.core.error.Executed;
+import io.arrowarch.core.error.QueryError;
+import io.arrowarch.core.replica.AttemptResult;
+import io.arrowarch.core.replica.ReplicaState;
+import io.arrowarch.core.time.TimerQueue;
+import io.arrowarch.core.topology.QueryKind;
+import io.arrowarch.core.topology.Selection;
+import io.arrowarch.core.wire.BackendReply;
+import io.arrowarch.core.wire.BackendReply.NotRunReason;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/**
+ * The state machine of one query: scatter, hedge, gather, answer. It answers exactly once, and
+ * starts no attempt after that.
+ */
+final class QueryExecution {
+  private static final int MAXIMUM_REPLANS = 2;
+  private static final int MAXIMUM_ATTEMPTS_PER_SHARD = 4;
+  private static final Duration RETRY_BACKOFF = Duration.ofMillis(5);
+
+  private final AttemptDispatcher dispatcher;
+  private final QueryPlanner planner;
+  private final TimerQueue timers;
+  private final QueryRequest request;
+  private final QueryKind kind;
+  private final Selection selection;
+  private final KindState kindState;
+  private final long hedgeDelayNanos;
+  private final long deadlineNanos;
+  private final Consumer<Either<QueryError, QueryAnswer>> sink;
+  private final ExecutionEvidence evidence = new ExecutionEvidence();
+  private QueryPlan plan;
+  private int replans;
+  private boolean finished;
+  private TimerQueue.Timer deadlineTimer;
+
+  QueryExecution(
+      AttemptDispatcher dispatcher,
+      QueryPlanner planner,
+      TimerQueue timers,
+      QueryRequest request,
+      QueryKind kind,
+      Selection selection,
+      KindState kindState,
+      long hedgeDelayNanos,
+      long deadlineNanos,
+      Consumer<Either<QueryError, QueryAnswer>> sink) {
+    this.dispatcher = dispatcher;
+    this.planner = planner;
+    this.timers = timers;
+    this.request = request;
+    this.kind = kind;
+    this.selection = selection;
+    this.kindState = kindState;
+    this.hedgeDelayNanos = hedgeDelayNanos;
+    this.deadlineNanos = deadlineNanos;
+    this.sink = sink;
+  }
+
+  QueryRequest request() {
+    return request;
+  }
+
+  QueryKind kind() {
+    return kind;
+  }
+
+  KindState kindState() {
+    return kindState;
+  }
+
+  long deadlineNanos() {
+    return deadlineNanos;
+  }
+
+  Optional<Long> pinnedSnapshot() {
+    return plan.snapshot();
+  }
+
+  QueryPlan plan() {
+    return plan;
+  }
+
+  boolean isFinished() {
+    return finished;
+  }
+
+  /** Plans without sending anything, so that admission can look at the plan. */
+  void prepare(long nowNanos) {
+    plan = planner.plan(this, selection, nowNanos);
+  }
+
+  /** Sends the first attempt of every shard and starts the timers. */
+  void start(long nowNanos) {
+    deadlineTimer = timers.schedule(deadlineNanos, this::onDeadline);
+    scatter(nowNanos);
+  }
+
+  /** Ends the query with an error that arose before any attempt. */
+  void refuse(QueryError error) {
+    finish(Either.left(error));
+  }
+
+  private void scatter(long nowNanos) {
+    if (finishIfHopeless() || finishIfSettled()) {
+      return;
+    }
+    int planNumber = replans;
+    for (ShardProgress progress : plan.shards()) {
+      if (isCurrent(planNumber) && !progress.isSettled()) {
+        tryStart(progress, AttemptPurpose.FIRST, nowNanos);
+      }
+    }
+    scheduleHedges(planNumber, nowNanos + hedgeDelayNanos);
+  }
+
+  /** Sends the next attempt of a shard, lets it wait for room, or gives it up. */
+  void tryStart(ShardProgress progress, AttemptPurpose purpose, long nowNanos) {
+    ImmutableList<ReplicaState> untried = dispatcher.eligible(progress.untried(), nowNanos);
+    if (untried.isEmpty()) {
+      lose(progress);
+      return;
+    }
+    Optional<ReplicaState> replica = dispatcher.choose(untried);
+    if (replica.isPresent()) {
+      dispatcher.start(progress, replica.get(), purpose);
+    } else {
+      dispatcher.awaitRoom(progress, purpose);
+    }
+  }
+
+  /** Takes a reply that belongs to this query; the dispatcher has removed the attempt. */
+  AttemptResult onReply(OutstandingAttempt attempt, BackendReply reply, long nowNanos) {
+    return switch (reply.outcome()) {
+      case OK -> onSuccess(attempt, reply, nowNanos);
+      case NOT_RUN -> onNotRun(attempt.progress(), reply, nowNanos);
+      case FAILED -> {
+        evidence.maybeRan();
+        retry(attempt.progress(), nowNanos);
+        yield AttemptResult.FAILURE;
+      }
+    };
+  }
+
+  /** Takes a failure without a reply. */
+  void onFailure(OutstandingAttempt attempt, AttemptFailure failure, long nowNanos) {
+    if (failure.maybeRun()) {
+      evidence.maybeRan();
+    }
+    retry(attempt.progress(), nowNanos);
+  }
+
+  private AttemptResult onSuccess(OutstandingAttempt attempt, BackendReply reply, long nowNanos) {
+    evidence.ran();
+    if (!isAsAsked(attempt, reply)) {
+      dispatcher.counters().onInvalidReply();
+      retry(attempt.progress(), nowNanos);
+      return AttemptResult.FAILURE;
+    }
+    kindState.latencies().record(nowNanos - attempt.startNanos(), nowNanos);
+    attempt.progress().onAnswered(reply);
+    dispatcher.cancelOutstanding(attempt.progress(), attempt.startNanos());
+    finishIfSettled();
+    return AttemptResult.SUCCESS;
+  }
+
+  private boolean isAsAsked(OutstandingAttempt attempt, BackendReply reply) {
+    boolean snapshotMatches = plan.snapshot().isEmpty() || plan.snapshot().equals(reply.snapshot());
+    return snapshotMatches
+        && reply.layout().equals(kind.layout().id())
+        && reply.shard().equals(attempt.progress().shard().name());
+  }
+
+  private AttemptResult onNotRun(ShardProgress progress, BackendReply reply, long nowNanos) {
+    NotRunReason reason = reply.reason().orElse(NotRunReason.SHED);
+    if (reason == NotRunReason.SNAPSHOT_GONE && replan(nowNanos)) {
+      return AttemptResult.NEUTRAL;
+    }
+    retry(progress, nowNanos);
+    return reason == NotRunReason.SHED ? AttemptResult.SHED : AttemptResult.NEUTRAL;
+  }
+
+  private void retry(ShardProgress progress, long nowNanos) {
+    if (finished || progress.isSettled() || !progress.outstanding().isEmpty()) {
+      return;
+    }
+    boolean allowed = kind.repeatable() && progress.attempts() < MAXIMUM_ATTEMPTS_PER_SHARD;
+    if (!allowed || !kindState.budget().tryWithdraw()) {
+      lose(progress);
+    } else if (!dispatcher.eligible(progress.untried(), nowNanos).isEmpty()) {
+      tryStart(progress, AttemptPurpose.RETRY, nowNanos);
+    } else {
+      retryAfterBackoff(progress, nowNanos);
+    }
+  }
+
+  private void retryAfterBackoff(ShardProgress progress, long nowNanos) {
+    long backoff = RETRY_BACKOFF.toNanos() << progress.attempts();
+    long jittered = dispatcher.jitter(backoff);
+    int planNumber = replans;
+    progress.forgetTried();
+    timers.schedule(
+        nowNanos + jittered,
+        () -> {
+          if (isCurrent(planNumber) && !progress.isSettled()) {
+            tryStart(progress, AttemptPurpose.RETRY, dispatcher.nowNanos());
+          }
+        });
+  }
+
+  /** Starts over on a snapshot that is still held. False when that is not possible any more. */
+  private boolean replan(long nowNanos) {
+    if (finished || replans >= MAXIMUM_REPLANS || nowNanos >= deadlineNanos) {
+      return false;
+    }
+    replans++;
+    dispatcher.counters().onReplan();
+    abandonPlan();
+    prepare(nowNanos);
+    scatter(nowNanos);
+    return true;
+  }
+
+  private boolean isCurrent(int planNumber) {
+    return !finished && replans == planNumber;
+  }
+
+  private void scheduleHedges(int planNumber, long dueNanos) {
+    if (!kind.repeatable() || kind.hedgeBudget() <= 0 || dueNanos >= deadlineNanos) {
+      return;
+    }
+    timers.schedule(dueNanos, () -> hedge(planNumber));
+  }
+
+  private void hedge(int planNumber) {
+    long nowNanos = dispatcher.nowNanos();
+    if (!isCurrent(planNumber) || nowNanos >= deadlineNanos) {
+      return;
+    }
+    long nextDueNanos = Long.MAX_VALUE;
+    for (ShardProgress progress : plan.shards()) {
+      if (progress.isSettled() || progress.isHedged()) {
+        continue;
+      }
+      long dueNanos = hedgeDueNanos(progress, nowNanos);
+      if (dueNanos <= nowNanos) {
+        tryHedge(progress, nowNanos);
+      } else {
+        nextDueNanos = Math.min(nextDueNanos, dueNanos);
+      }
+    }
+    scheduleHedges(planNumber, nextDueNanos);
+  }
+
+  private long hedgeDueNanos(ShardProgress progress, long nowNanos) {
+    long startNanos =
+        progress.outstanding().isEmpty() ? nowNanos : progress.outstanding().get(0).startNanos();
+    return startNanos + hedgeDelayNanos;
+  }
+
+  private void tryHedge(ShardProgress progress, long nowNanos) {
+    Optional<ReplicaState> replica =
+        dispatcher.choose(dispatcher.eligible(progress.untried(), nowNanos));
+    if (replica.isPresent() && dispatcher.mayHedge(kindState.budget())) {
+      dispatcher.start(progress, replica.get(), AttemptPurpose.HEDGE);
+    }
+  }
+
+  private void lose(ShardProgress progress) {
+    progress.onLost();
+    if (!finishIfHopeless()) {
+      finishIfSettled();
+    }
+  }
+
+  /** Gives the query up at once when too many shards are lost for the kind's minimum. */
+  private boolean finishIfHopeless() {
+    if (finished) {
+      return true;
+    }
+    Coverage best = plan.bestCoverage();
+    if (best.shardsAnswered() > 0 && best.fraction() >= kind.minimumCoverage()) {
+      return false;
+    }
+    finishWithError(
+        kind.operation() == Operation.SEARCH
+            ? ErrorKind.COVERAGE_TOO_LOW
+            : ErrorKind.BACKEND_FAILED,
+        "no replica is left for " + String.join(", ", best.missing()));
+    return true;
+  }
+
+  private boolean finishIfSettled() {
+    if (!finished && plan.isSettled()) {
+      finishWithAnswer(plan.coverage());
+    }
+    return finished;
+  }
+
+  private void onDeadline() {
+    if (finished) {
+      return;
+    }
+    Coverage coverage = plan.coverage();
+    if (coverage.shardsAnswered() > 0 && coverage.fraction() >= kind.minimumCoverage()) {
+      finishWithAnswer(coverage);
+    } else {
+      finishWithError(
+          ErrorKind.DEADLINE_EXCEEDED,
+          "no answer in time from " + String.join(", ", coverage.missing()));
+    }
+  }
+
+  private void finishWithAnswer(Coverage coverage) {
+    Optional<BackendReply> single =
+        kind.operation().isSingleShard() ? plan.shards().get(0).reply() : Optional.empty();
+    QueryAnswer answer =
+        new QueryAnswer(
+            request.requestId(),
+            kind.name(),
+            kind.layout().id(),
+            single.isPresent() ? single.get().snapshot() : plan.snapshot(),
+            coverage,
+            ResultMerger.merge(
+                plan.shards().stream().flatMap(p -> p.reply().stream()).map(BackendReply::hits),
+                request.limit()),
+            single.flatMap(BackendReply::document));
+    dispatcher.counters().onAnswer(coverage.fraction() < 1.0);
+    finish(Either.right(answer));
+  }
+
+  private void finishWithError(ErrorKind errorKind, String detail) {
+    int outstanding = plan.shards().stream().mapToInt(p -> p.outstanding().size()).sum();
+    Executed executed = evidence.conclude(outstanding);
+    Duration retryAfter = dispatcher.retryAfter();
+    finish(Either.left(new QueryError(errorKind, detail, executed, Optional.of(retryAfter))));
+  }
+
+  private void finish(Either<QueryError, QueryAnswer> outcome) {
+    finished = true;
+    if (deadlineTimer != null) {
+      deadlineTimer.cancel();
+    }
+    abandonPlan();
+    if (outcome.isLeft()) {
+      dispatcher.counters().onError();
+    }
+    dispatcher.onFinished(this);
+    sink.accept(outcome);
+  }
+
+  private void abandonPlan() {
+    for (ShardProgress progress : plan.shards()) {
+      if (!progress.outstanding().isEmpty()) {
+        evidence.maybeRan();
+      }
+      dispatcher.cancelOutstanding(progress, Long.MAX_VALUE);
+      progress.onLost();
+    }
+  }
+}
--- /dev/null
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/query/QueryPlan.java
@@ -0,0 +1,35 @@
+package io.arrowarch.core.query;
+
+import com.google.common.collect.ImmutableList;
+import io.arrowarch.core.topology.Layout.Shard;
+import java.util.Optional;
+
+/**
+ * What one query is pinned to, with the progress of its shards. A query that is planned again gets
+ * a new plan and keeps nothing of the old one.
+ */
+record QueryPlan(Optional<Long> snapshot, ImmutableList<ShardProgress> shards) {
+  boolean isSettled() {
+    return shards.stream().allMatch(ShardProgress::isSettled);
+  }
+
+  Coverage coverage() {
+    return coverageIf(ShardProgress::isAnswered);
+  }
+
+  /** The coverage that is left if every shard that is not lost answers. */
+  Coverage bestCoverage() {
+    return coverageIf(progress -> !progress.isLost());
+  }
+
+  private Coverage coverageIf(java.util.function.Predicate<ShardProgress> condition) {
+    ImmutableList<Shard> asked =
+        shards.stream().map(ShardProgress::shard).collect(ImmutableList.toImmutableList());
+    ImmutableList<Shard> counted =
+        shards.stream()
+            .filter(condition)
+            .map(ShardProgress::shard)
+            .collect(ImmutableList.toImmutableList());
+    return Coverage.of(asked, counted::contains);
+  }
+}
--- /dev/null
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/query/QueryPlanner.java
@@ -0,0 +1,103 @@
+package io.arrowarch.core.query;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
+import io.arrowarch.core.replica.ReplicaState;
+import io.arrowarch.core.replica.ReplicaTable;
+import io.arrowarch.core.topology.Configuration;
+import io.arrowarch.core.topology.Layout.Shard;
+import io.arrowarch.core.topology.QueryKind;
+import io.arrowarch.core.topology.Selection;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/** Turns a query into a {@link QueryPlan}: selectors, then usable replicas, then the snapshot. */
+final class QueryPlanner {
+  private static final int SECONDS_PER_MINUTE = 60;
+
+  private final String zone;
+  private final ReplicaTable replicas;
+  private final Map<String, CachedSelection> selections = new HashMap<>();
+  private Optional<Configuration> configuration = Optional.empty();
+
+  /** A selection; windows open and close on whole minutes. */
+  private record CachedSelection(long epochMinute, Selection selection) {}
+
+  QueryPlanner(String zone, ReplicaTable replicas) {
+    this.zone = zone;
+    this.replicas = replicas;
+  }
+
+  void reconfigure(Configuration updated) {
+    configuration = Optional.of(updated);
+    selections.clear();
+  }
+
+  Optional<Configuration> configuration() {
+    return configuration;
+  }
+
+  /** What the selectors choose for a kind at this minute. */
+  Selection select(QueryKind kind, Instant wallTime) {
+    long epochMinute = Math.floorDiv(wallTime.getEpochSecond(), SECONDS_PER_MINUTE);
+    CachedSelection cached = selections.get(kind.name());
+    if (cached == null || cached.epochMinute() != epochMinute) {
+      Selection selection = configuration.orElseThrow().select(kind, zone, wallTime);
+      cached = new CachedSelection(epochMinute, selection);
+      selections.put(kind.name(), cached);
+    }
+    return cached.selection();
+  }
+
+  /** Plans a query on the kind and selection that it was admitted with. */
+  QueryPlan plan(QueryExecution execution, Selection selection, long nowNanos) {
+    QueryKind kind = execution.kind();
+    ImmutableListMultimap<String, ReplicaState> usable = usableReplicas(selection, nowNanos);
+    Optional<Long> snapshot =
+        kind.operation().isSingleShard()
+            ? Optional.empty()
+            : SnapshotChooser.choose(kind.layout(), usable);
+    ImmutableList<ShardProgress> shards =
+        askedShards(execution).stream()
+            .map(shard -> progressOf(execution, shard, usable, snapshot))
+            .collect(ImmutableList.toImmutableList());
+    return new QueryPlan(snapshot, shards);
+  }
+
+  private ImmutableListMultimap<String, ReplicaState> usableReplicas(
+      Selection selection, long nowNanos) {
+    ImmutableListMultimap.Builder<String, ReplicaState> usable = ImmutableListMultimap.builder();
+    for (String shard : selection.byShard().keySet()) {
+      usable.putAll(shard, replicas.usable(selection.byShard().get(shard), nowNanos));
+    }
+    return usable.build();
+  }
+
+  private static ImmutableList<Shard> askedShards(QueryExecution execution) {
+    QueryKind kind = execution.kind();
+    if (!kind.operation().isSingleShard()) {
+      return kind.layout().shards();
+    }
+    String key = execution.request().key().orElseThrow();
+    return ImmutableList.of(kind.layout().shardOfKey(key));
+  }
+
+  private static ShardProgress progressOf(
+      QueryExecution execution,
+      Shard shard,
+      ImmutableListMultimap<String, ReplicaState> usable,
+      Optional<Long> snapshot) {
+    ImmutableList<ReplicaState> candidates = usable.get(shard.name());
+    if (snapshot.isPresent()) {
+      candidates =
+          candidates.stream()
+              .filter(
+                  replica ->
+                      SnapshotChooser.holds(replica, execution.kind().layout(), snapshot.get()))
+              .collect(ImmutableList.toImmutableList());
+    }
+    return new ShardProgress(execution, shard, candidates);
+  }
+}
--- /dev/null
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/query/WaitingShards.java
@@ -0,0 +1,40 @@
+package io.arrowarch.core.query;
+
+import io.arrowarch.core.replica.ReplicaState;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/** Shards that wait for room at any of their replicas, first come first served per replica. */
+final class WaitingShards {
+  private final Map<String, ArrayDeque<ShardProgress>> queues = new HashMap<>();
+
+  void add(ShardProgress progress, AttemptPurpose purpose) {
+    progress.startWaiting(purpose);
+    for (ReplicaState candidate : progress.untried()) {
+      queueOf(candidate.backend().id()).add(progress);
+    }
+  }
+
+  /** Takes the shard that has waited longest for this back end. */
+  Optional<ShardProgress> poll(String backendId) {
+    ArrayDeque<ShardProgress> queue = queueOf(backendId);
+    while (!queue.isEmpty()) {
+      ShardProgress progress = queue.poll();
+      if (progress.isWaiting()) {
+        return Optional.of(progress);
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** How many entries wait for this back end; entries that have found another are counted too. */
+  int length(String backendId) {
+    return queueOf(backendId).size();
+  }
+
+  private ArrayDeque<ShardProgress> queueOf(String backendId) {
+    return queues.computeIfAbsent(backendId, id -> new ArrayDeque<>());
+  }
+}
--- /dev/null
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/quorum/ConfirmationRound.java
@@ -0,0 +1,75 @@
+package io.arrowarch.core.quorum;
+
+import com.google.common.collect.ImmutableList;
+import io.arrowarch.core.config.ConfigurationId;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+
+/** The statements that voters made in answer to one round of requests. */
+final class ConfirmationRound {
+  /**
+   * Statements that come later are not counted. Shorter than the least recovery time, so that no
+   * voter that made a statement can have been replaced and recovered within its round.
+   */
+  static final Duration TIMEOUT = Duration.ofMillis(400);
+
+  private final long number;
+  private final long startNanos;
+  private final Map<String, Statement> statements = new HashMap<>();
+
+  /** What one voter said. */
+  record Statement(boolean voting, ConfigurationId held) {}
+
+  ConfirmationRound(long number, long startNanos) {
+    this.number = number;
+    this.startNanos = startNanos;
+  }
+
+  long number() {
+    return number;
+  }
+
+  long startNanos() {
+    return startNanos;
+  }
+
+  boolean isOver(long nowNanos) {
+    return nowNanos - startNanos > TIMEOUT.toNanos();
+  }
+
+  void add(String voter, Statement statement) {
+    statements.put(voter, statement);
+  }
+
+  Optional<Statement> statementOf(String voter) {
+    return Optional.ofNullable(statements.get(voter));
+  }
+
+  /** Whether a majority of the group votes and meets the condition. */
+  boolean hasMajority(VotingGroup group, Predicate<ConfigurationId> condition) {
+    return countVoting(group, condition) >= group.majority();
+  }
+
+  /** Voting members of the group whose configuration meets the condition. */
+  int countVoting(VotingGroup group, Predicate<ConfigurationId> condition) {
+    int count = 0;
+    for (String voter : group.voters()) {
+      Statement statement = statements.get(voter);
+      if (statement != null && statement.voting() && condition.test(statement.held())) {
+        count++;
+      }
+    }
+    return count;
+  }
+
+  /** The configurations that members of the group hold, voting or not. */
+  ImmutableList<ConfigurationId> held(VotingGroup group) {
+    return group.voters().stream()
+        .flatMap(voter -> statementOf(voter).stream())
+        .map(Statement::held)
+        .collect(ImmutableList.toImmutableList());
+  }
+}
--- /dev/null
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/router/RouterTransports.java
@@ -0,0 +1,21 @@
+package io.arrowarch.core.router;
+
+import static java.util.Objects.requireNonNull;
+
+import io.arrowarch.core.peer.PeerTransport;
+import io.arrowarch.core.query.AttemptTransport;
+import io.arrowarch.core.replica.ProbeTransport;
+
+/** All that a router core does to the outside. */
+public record RouterTransports(
+    AttemptTransport attempts,
+    ProbeTransport probes,
+    PeerTransport peers,
+    PlatformTransport platform) {
+  public RouterTransports {
+    requireNonNull(attempts, "attempts is null");
+    requireNonNull(probes, "probes is null");
+    requireNonNull(peers, "peers is null");
+    requireNonNull(platform, "platform is null");
+  }
+}
--- /dev/null
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/time/TimerQueue.java
@@ -0,0 +1,61 @@
+package io.arrowarch.core.time;
+
+import java.util.Comparator;
+import java.util.OptionalLong;
+import java.util.PriorityQueue;
+
+/**
+ * Timers of one core instance, run by whoever drives it. Not thread-safe: the owner serialises all
+ * calls.
+ */
+public final class TimerQueue {
+  private final PriorityQueue<Timer> timers =
+      new PriorityQueue<>(
+          Comparator.comparingLong((Timer timer) -> timer.dueNanos)
+              .thenComparingLong(timer -> timer.sequence));
+  private long nextSequence;
+
+  /** Runs {@code task} at the first {@link #runDue} at or after {@code dueNanos}. */
+  public Timer schedule(long dueNanos, Runnable task) {
+    Timer timer = new Timer(dueNanos, nextSequence++, task);
+    timers.add(timer);
+    return timer;
+  }
+
+  /** Runs every timer that is due, in order of due time. */
+  public void runDue(long nowNanos) {
+    while (!timers.isEmpty() && timers.peek().dueNanos <= nowNanos) {
+      Timer timer = timers.poll();
+      if (!timer.cancelled) {
+        timer.task.run();
+      }
+    }
+  }
+
+  /** When the next timer is due, or empty when there is none. */
+  public OptionalLong nextDueNanos() {
+    while (!timers.isEmpty() && timers.peek().cancelled) {
+      timers.poll();
+    }
+    return timers.isEmpty() ? OptionalLong.empty() : OptionalLong.of(timers.peek().dueNanos);
+  }
+
+  /** One scheduled task. */
+  public static final class Timer {
+    private final long dueNanos;
+    private final long sequence;
+    private final Runnable task;
+    private boolean cancelled;
+
+    private Timer(long dueNanos, long sequence, Runnable task) {
+      this.dueNanos = dueNanos;
+      this.sequence = sequence;
+      this.task = task;
+    }
+
+    /** Prevents the task from running; no effect once it ran. */
+    public void cancel() {
+      cancelled = true;
+    }
+  }
+}
--- /dev/null
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/topology/Selection.java
@@ -0,0 +1,48 @@
+package io.arrowarch.core.topology;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
+import com.google.common.collect.ImmutableMap;
+import java.time.Instant;
+import java.util.Optional;
+
+/**
+ * What the rules of a kind choose for one zone and moment.
+ *
+ * @param byShard chosen back ends by shard name
+ * @param reasonsAgainst for each back end left out, the reason of each rule, joined by semicolons
+ */
+public record Selection(
+    ImmutableListMultimap<String, Backend> byShard, ImmutableMap<String, String> reasonsAgainst) {
+  static Selection of(
+      QueryKind kind, ImmutableList<Backend> holders, String routerZone, Instant wallTime) {
+    ImmutableListMultimap.Builder<String, Backend> byShard = ImmutableListMultimap.builder();
+    ImmutableMap.Builder<String, String> reasons = ImmutableMap.builder();
+    String layout = kind.layout().name();
+    for (Backend backend : holders) {
+      Optional<String> reason = reasonAgainst(kind, backend, routerZone, wallTime);
+      if (reason.isPresent()) {
+        reasons.put(backend.id(), reason.get());
+      } else {
+        byShard.put(backend.shardOf(layout).orElseThrow(), backend);
+      }
+    }
+    return new Selection(byShard.build(), reasons.buildOrThrow());
+  }
+
+  private static Optional<String> reasonAgainst(
+      QueryKind kind, Backend backend, String routerZone, Instant wallTime) {
+    StringBuilder reasons = new StringBuilder();
+    for (SelectionRule rule : kind.rules()) {
+      Optional<String> reason = rule.reasonAgainst(backend, routerZone, wallTime);
+      if (reason.isEmpty()) {
+        return Optional.empty();
+      }
+      if (reasons.length() > 0) {
+        reasons.append("; ");
+      }
+      reasons.append(reason.get());
+    }
+    return Optional.of(reasons.toString());
+  }
+}
--- /dev/null
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/PeerEndpoint.java
@@ -0,0 +1,140 @@
+package io.arrowarch.node;
+
+import com.google.common.flogger.FluentLogger;
+import io.arrowarch.core.peer.PeerMessage;
+import io.arrowarch.core.peer.PeerTransport;
+import io.arrowarch.core.wire.WireCodec;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.datagram.DatagramSocket;
+import io.vertx.core.datagram.DatagramSocketOptions;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import java.time.Duration;
+
+/**
+ * The peer protocol: Jackson JSON, as a datagram when the message fits into one, else as an HTTP
+ * post to the same port number.
+ */
+final class PeerEndpoint implements PeerTransport {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final String MESSAGE_PATH = "/v1/peer";
+
+  /** Fits an Ethernet frame with room for headers. */
+  private static final int MAXIMUM_DATAGRAM_BYTES = 1_400;
+
+  private static final Duration HTTP_TIMEOUT = Duration.ofSeconds(2);
+  private static final int BIND_TRIES = 10;
+  private static final int CONNECTIONS_PER_PEER = 2;
+
+  private final Vertx vertx;
+  private final CoreDriver driver;
+  private final HttpClient client;
+  private HttpServer server;
+  private DatagramSocket socket;
+  private long bytesSent;
+  private long messagesSent;
+
+  PeerEndpoint(Vertx vertx, CoreDriver driver) {
+    this.vertx = vertx;
+    this.driver = driver;
+    this.client =
+        vertx.createHttpClient(
+            new HttpClientOptions().setConnectTimeout((int) HTTP_TIMEOUT.toMillis()),
+            new PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_PEER));
+  }
+
+  /** Binds TCP and UDP to one port number and returns the address. */
+  Future<SocketAddressSetting> listen(SocketAddressSetting wanted) {
+    return listen(wanted, BIND_TRIES);
+  }
+
+  private Future<SocketAddressSetting> listen(SocketAddressSetting wanted, int triesLeft) {
+    server =
+        vertx
+            .createHttpServer(new HttpServerOptions().setHost(wanted.host()).setPort(wanted.port()))
+            .requestHandler(this::onRequest);
+    socket = vertx.createDatagramSocket(new DatagramSocketOptions());
+    socket.handler(packet -> onBytes(packet.data().getBytes()));
+    return server
+        .listen()
+        .compose(
+            bound ->
+                socket
+                    .listen(bound.actualPort(), wanted.host())
+                    .map(wanted.withPort(bound.actualPort())))
+        .recover(
+            failure -> {
+              if (wanted.port() != 0 || triesLeft == 0) {
+                return Future.failedFuture(failure);
+              }
+              return server.close().compose(closed -> listen(wanted, triesLeft - 1));
+            });
+  }
+
+  @Override
+  public void send(String address, PeerMessage message) {
+    SocketAddressSetting target = SocketAddressSetting.parse(address);
+    byte[] bytes = WireCodec.encode(message);
+    bytesSent += bytes.length;
+    messagesSent++;
+    if (bytes.length <= MAXIMUM_DATAGRAM_BYTES) {
+      socket
+          .send(Buffer.buffer(bytes), target.port(), target.host())
+          .onFailure(failure -> logger.atFine().log("Peer: datagram to %s failed.", address));
+    } else {
+      post(target, bytes);
+    }
+  }
+
+  /** Bytes of messages since the start, without lower headers. */
+  long bytesSent() {
+    return bytesSent;
+  }
+
+  /** Messages since the start. */
+  long messagesSent() {
+    return messagesSent;
+  }
+
+  Future<Void> close() {
+    return socket.close().compose(closed -> server.close());
+  }
+
+  private void post(SocketAddressSetting target, byte[] bytes) {
+    RequestOptions options =
+        new RequestOptions()
+            .setMethod(HttpMethod.POST)
+            .setHost(target.host())
+            .setPort(target.port())
+            .setURI(MESSAGE_PATH)
+            .setTimeout(HTTP_TIMEOUT.toMillis());
+    client
+        .request(options)
+        .compose(request -> request.send(Buffer.buffer(bytes)))
+        .onFailure(failure -> logger.atFine().log("Peer: post to %s failed.", target));
+  }
+
+  private void onRequest(HttpServerRequest request) {
+    request
+        .body()
+        .onSuccess(
+            body -> {
+              onBytes(body.getBytes());
+              request.response().setStatusCode(204).end();
+            });
+  }
+
+  private void onBytes(byte[] bytes) {
+    WireCodec.decode(bytes, PeerMessage.class)
+        .onSuccess(message -> driver.run(() -> driver.core().onPeerMessage(message)))
+        .onFailure(failure -> logger.atWarning().log("Peer: dropped a malformed message."));
+  }
+}
