--- a/arrowarch-core/src/main/java/io/arrowarch/core/peer/PeerBody.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/peer/PeerBody.java
@@ -59,12 +59,14 @@
   /**
    * A voter's answer.
    *
+   * @param askerIncarnation whose round it answers; a later incarnation numbers its rounds anew
    * @param voting whether it has recovered what earlier incarnations held and may be counted
    * @param held what it holds; never goes back within an incarnation
    * @param superseded whether it knows a later incarnation of the asker
    * @param incarnations the newest incarnations of voters that it knows
    */
   record ConfirmReply(
+      long askerIncarnation,
       long round,
       boolean voting,
       ConfigurationId held,
--- a/arrowarch-core/src/main/java/io/arrowarch/core/query/QueryExecution.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/query/QueryExecution.java
@@ -357,13 +357,14 @@
     sink.accept(outcome);
   }
 
+  /** Settles every shard before cancelling any, so that freed room goes to other queries. */
   private void abandonPlan() {
+    plan.shards().forEach(ShardProgress::onLost);
     for (ShardProgress progress : plan.shards()) {
       if (!progress.outstanding().isEmpty()) {
         evidence.maybeRan();
       }
       dispatcher.cancelOutstanding(progress, Long.MAX_VALUE);
-      progress.onLost();
     }
   }
 }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/quorum/ConfigurationAgreement.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/quorum/ConfigurationAgreement.java
@@ -161,6 +161,7 @@
     membership.send(
         sender.address(),
         new PeerBody.ConfirmReply(
+            sender.incarnation(),
             request.round(),
             recovery.isVoting() && !isSuperseded(),
             store.inForceId(),
@@ -174,6 +175,9 @@
 
   /** Takes a voter's statement. */
   public void onConfirmReply(MemberRecord sender, PeerBody.ConfirmReply reply) {
+    if (reply.askerIncarnation() != membership.self().incarnation()) {
+      return;
+    }
     noteIncarnation(sender.id(), sender.incarnation());
     reply.incarnations().forEach(this::noteIncarnation);
     superseded |= reply.superseded();
--- a/arrowarch-core/src/main/java/io/arrowarch/core/router/QueryService.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/router/QueryService.java
@@ -1,6 +1,7 @@
 package io.arrowarch.core.router;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Ordering;
 import com.google.common.hash.Hashing;
 import io.arrowarch.core.error.ErrorKind;
 import io.arrowarch.core.error.Executed;
@@ -21,6 +22,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 
 /**
  * What stands between a caller and the coordinator: planned stop, the right to serve, and tickets
@@ -89,12 +91,14 @@
       counted.accept(refusal(ErrorKind.DRAINING, "this node is stopping; ask another"));
       return;
     }
-    Optional<QueryKind> kind =
-        coordinator.configuration().flatMap(current -> current.kind(request.kind()));
-    if (kind.isPresent() && !kind.get().repeatable()) {
-      submitOnce(request, counted);
+    long arrivalNanos = clock.nanoTime();
+    if (agreement.isConfirmed(arrivalNanos)) {
+      dispatch(request, arrivalNanos, counted);
+    } else if (agreement.isSuperseded()) {
+      counted.accept(refusal(ErrorKind.NOT_CONFIRMED, "a later incarnation of this node runs"));
     } else {
-      submitConfirmed(request, counted);
+      awaitLease(request, arrivalNanos, counted);
+      agreement.confirmNow();
     }
   }
 
@@ -105,7 +109,23 @@
     ready.forEach(Runnable::run);
   }
 
-  private void submitOnce(QueryRequest request, Consumer<Either<QueryError, QueryAnswer>> sink) {
+  /**
+   * Runs a query once the configuration is confirmed. Not earlier: without one it is not known
+   * whether the kind is repeatable.
+   */
+  private void dispatch(
+      QueryRequest request, long arrivalNanos, Consumer<Either<QueryError, QueryAnswer>> sink) {
+    Optional<QueryKind> kind =
+        coordinator.configuration().flatMap(current -> current.kind(request.kind()));
+    if (kind.isPresent() && !kind.get().repeatable()) {
+      dispatchOnce(request, arrivalNanos, sink);
+    } else {
+      coordinator.submit(request, arrivalNanos, sink);
+    }
+  }
+
+  private void dispatchOnce(
+      QueryRequest request, long arrivalNanos, Consumer<Either<QueryError, QueryAnswer>> sink) {
     if (request.ticket().isEmpty()) {
       sink.accept(
           Either.left(
@@ -124,16 +144,19 @@
         outcome -> sink.accept(outcome.map(answer -> answer.withRequestId(request.requestId())));
     tickets
         .redeem(ticket.get(), fingerprint(request), resendSink)
-        .peek(fresh -> fresh.ifPresent(redemption -> runOnce(request, redemption, sink)))
+        .peek(
+            fresh -> fresh.ifPresent(redemption -> runOnce(request, arrivalNanos, redemption, sink)))
         .peekLeft(error -> sink.accept(Either.left(error)));
   }
 
   private void runOnce(
       QueryRequest request,
+      long arrivalNanos,
       TicketRegistry.Redemption<Either<QueryError, QueryAnswer>> redemption,
       Consumer<Either<QueryError, QueryAnswer>> sink) {
-    submitConfirmed(
+    coordinator.submit(
         request,
+        arrivalNanos,
         outcome -> {
           Executed executed = outcome.fold(QueryError::executed, answer -> Executed.YES);
           tickets.complete(redemption, outcome, executed);
@@ -141,29 +164,13 @@
         });
   }
 
-  private void submitConfirmed(
-      QueryRequest request, Consumer<Either<QueryError, QueryAnswer>> sink) {
-    long arrivalNanos = clock.nanoTime();
-    if (agreement.isConfirmed(arrivalNanos)) {
-      coordinator.submit(request, arrivalNanos, sink);
-      return;
-    }
-    if (agreement.isSuperseded()) {
-      sink.accept(refusal(ErrorKind.NOT_CONFIRMED, "a later incarnation of this node runs"));
-      return;
-    }
-    awaitLease(request, arrivalNanos, sink);
-    agreement.confirmNow();
-  }
-
   private void awaitLease(
       QueryRequest request, long arrivalNanos, Consumer<Either<QueryError, QueryAnswer>> sink) {
-    long wait = LONGEST_CONFIRMATION_WAIT.toNanos();
-    long halfDeadline = request.deadline().map(deadline -> deadline.toNanos() / 2).orElse(wait);
+    long wait = confirmationWait(request).toNanos();
     Runnable[] onLease = new Runnable[1];
     TimerQueue.Timer giveUp =
         timers.schedule(
-            arrivalNanos + Math.min(wait, halfDeadline),
+            arrivalNanos + wait,
             () -> {
               awaitingLease.remove(onLease[0]);
               sink.accept(
@@ -174,11 +181,24 @@
     onLease[0] =
         () -> {
           giveUp.cancel();
-          coordinator.submit(request, arrivalNanos, sink);
+          dispatch(request, arrivalNanos, sink);
         };
     awaitingLease.add(onLease[0]);
   }
 
+  /** Half of the deadline, so that the query can still run; bounded when that is not known. */
+  private Duration confirmationWait(QueryRequest request) {
+    Optional<Duration> kindDeadline =
+        coordinator
+            .configuration()
+            .flatMap(current -> current.kind(request.kind()))
+            .map(QueryKind::deadline);
+    return Stream.of(request.deadline(), kindDeadline)
+        .flatMap(Optional::stream)
+        .map(deadline -> deadline.dividedBy(2))
+        .reduce(LONGEST_CONFIRMATION_WAIT, Ordering.natural()::min);
+  }
+
   private static Either<QueryError, QueryAnswer> refusal(ErrorKind kind, String detail) {
     return Either.left(QueryError.of(kind, detail).withRetryAfter(RETRY_AFTER));
   }
--- a/arrowarch-emulator/src/main/java/io/arrowarch/emulator/backend/BackendModel.java
+++ b/arrowarch-emulator/src/main/java/io/arrowarch/emulator/backend/BackendModel.java
@@ -38,6 +38,7 @@
   private final RandomGenerator random;
   private final ExecutionLog log;
   private final Deque<Job> waiting = new ArrayDeque<>();
+  private final Map<String, String> shardByLayout = new HashMap<>();
   private final Map<String, TreeSet<Long>> snapshots = new HashMap<>();
   private final Map<String, TimerQueue.Timer> running = new HashMap<>();
   private ServiceTimes serviceTimes;
@@ -67,21 +68,29 @@
     this.timers = timers;
     this.random = random;
     this.log = log;
-    options.shardByLayout().keySet().forEach(layout -> publish(layout, firstSnapshot));
+    options.shardByLayout().forEach((layout, shard) -> hold(layout, shard, firstSnapshot));
   }
 
-  /** Adds a snapshot of a layout; the oldest beyond {@link #SNAPSHOTS_KEPT} is dropped. */
-  public void publish(String layoutId, long snapshot) {
-    TreeSet<Long> held = snapshots.computeIfAbsent(layoutId, id -> new TreeSet<>());
-    held.add(snapshot);
-    while (held.size() > SNAPSHOTS_KEPT) {
-      held.pollFirst();
+  /** Takes up a shard of a layout, unless one of that layout is held already. */
+  public void hold(String layoutId, String shard, long snapshot) {
+    if (shardByLayout.putIfAbsent(layoutId, shard) == null) {
+      snapshots.put(layoutId, new TreeSet<>(Set.of(snapshot)));
     }
   }
 
-  /** Adds the next snapshot of every layout held. */
+  /** Adds a snapshot of every layout; the oldest beyond {@link #SNAPSHOTS_KEPT} is dropped. */
+  public void publish(long snapshot) {
+    for (TreeSet<Long> held : snapshots.values()) {
+      held.add(snapshot);
+      while (held.size() > SNAPSHOTS_KEPT) {
+        held.pollFirst();
+      }
+    }
+  }
+
+  /** Adds the snapshot after the newest. */
   public void publishNext() {
-    snapshots.forEach((layout, held) -> publish(layout, held.last() + 1));
+    snapshots.values().stream().mapToLong(TreeSet::last).max().ifPresent(n -> publish(n + 1));
   }
 
   /** Changes how long requests take from now on. */
@@ -109,6 +118,7 @@
 
   /** Takes a request; {@code replyTo} gets one reply unless the attempt is cancelled. */
   public void submit(BackendRequest request, Consumer<BackendReply> replyTo) {
+    log.recordOffer(entry(request));
     Optional<NotRunReason> refusal = refusalOf(request);
     if (refusal.isPresent()) {
       replyTo.accept(notRun(request, refusal.get()));
@@ -137,7 +147,7 @@
     if (draining) {
       return Optional.of(NotRunReason.DRAINING);
     }
-    if (!request.shard().equals(options.shardByLayout().get(request.layout()))) {
+    if (!request.shard().equals(shardByLayout.get(request.layout()))) {
       return Optional.of(NotRunReason.WRONG_SHARD);
     }
     if (waiting.size() >= options.maximumWaiting()) {
@@ -156,7 +166,7 @@
   private void run(Job job) {
     long snapshot =
         job.request().snapshot().orElseGet(() -> snapshots.get(job.request().layout()).last());
-    log.record(new ExecutionLog.Execution(options.id(), incarnation, job.request()));
+    log.recordRun(entry(job.request()));
     long endNanos = clock.nanoTime() + serviceTimes.nextNanos(random);
     TimerQueue.Timer completion = timers.schedule(endNanos, () -> finish(job, snapshot));
     running.put(job.request().attempt(), completion);
@@ -186,6 +196,10 @@
     }
   }
 
+  private ExecutionLog.Entry entry(BackendRequest request) {
+    return new ExecutionLog.Entry(options.id(), incarnation, clock.nanoTime(), request);
+  }
+
   private BackendReply notRun(BackendRequest request, NotRunReason reason) {
     return new BackendReply(
         request.attempt(),
--- a/arrowarch-emulator/src/main/java/io/arrowarch/emulator/backend/BackendServer.java
+++ b/arrowarch-emulator/src/main/java/io/arrowarch/emulator/backend/BackendServer.java
@@ -232,6 +232,6 @@
   }
 
   private void onExecutions(RoutingContext context) {
-    context.response().end(Buffer.buffer(WireCodec.encode(log.executions())));
+    context.response().end(Buffer.buffer(WireCodec.encode(log.runs())));
   }
 }
--- a/arrowarch-emulator/src/main/java/io/arrowarch/emulator/backend/ExecutionLog.java
+++ b/arrowarch-emulator/src/main/java/io/arrowarch/emulator/backend/ExecutionLog.java
@@ -4,19 +4,33 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** What back ends really ran, for oracles. */
+/** What back ends were offered and what they really ran, for oracles. */
 public final class ExecutionLog {
-  private final List<Execution> executions = new ArrayList<>();
+  private final List<Entry> offers = new ArrayList<>();
+  private final List<Entry> runs = new ArrayList<>();
 
-  /** One run of a request. */
-  public record Execution(String backend, String incarnation, BackendRequest request) {}
+  /**
+   * One request at one back end.
+   *
+   * @param atNanos on the back end's monotonic clock
+   */
+  public record Entry(String backend, String incarnation, long atNanos, BackendRequest request) {}
 
-  void record(Execution execution) {
-    executions.add(execution);
+  void recordOffer(Entry entry) {
+    offers.add(entry);
   }
 
-  /** All runs, in order. */
-  public List<Execution> executions() {
-    return executions;
+  void recordRun(Entry entry) {
+    runs.add(entry);
+  }
+
+  /** All requests that arrived, in order, refused ones included. */
+  public List<Entry> offers() {
+    return offers;
+  }
+
+  /** All requests that were run, in order. */
+  public List<Entry> runs() {
+    return runs;
   }
 }
--- a/arrowarch-node/src/main/java/io/arrowarch/node/CoreDriver.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/CoreDriver.java
@@ -1,5 +1,6 @@
 package io.arrowarch.node;
 
+import com.google.common.flogger.FluentLogger;
 import io.arrowarch.core.router.RouterCore;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
@@ -10,6 +11,7 @@
  * afterwards arms the one Vert.x timer that the core's next timer needs.
  */
 final class CoreDriver {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long NO_TIMER = -1;
   private static final long NANOS_PER_MILLI = 1_000_000;
 
@@ -42,9 +44,15 @@
   }
 
   private void runAndArm(Runnable task) {
-    task.run();
-    core.runTimers();
-    arm();
+    try {
+      task.run();
+      core.runTimers();
+    } catch (RuntimeException e) {
+      // A defect in one event must not stop the timers that answer all other queries.
+      logger.atSevere().withCause(e).log("Core: an event failed.");
+    } finally {
+      arm();
+    }
   }
 
   private void arm() {
