--- a/arrowarch-core/src/main/java/io/arrowarch/core/query/QueryPlanner.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/query/QueryPlanner.java
@@ -84,20 +84,25 @@
     return ImmutableList.of(kind.layout().shardOfKey(key));
   }
 
+  /** The replicas that may answer for a shard; a search asks only holders of its snapshot. */
   private static ShardProgress progressOf(
       QueryExecution execution,
       Shard shard,
       ImmutableListMultimap<String, ReplicaState> usable,
       Optional<Long> snapshot) {
+    QueryKind kind = execution.kind();
     ImmutableList<ReplicaState> candidates = usable.get(shard.name());
-    if (snapshot.isPresent()) {
+    if (!kind.operation().isSingleShard()) {
       candidates =
           candidates.stream()
-              .filter(
-                  replica ->
-                      SnapshotChooser.holds(replica, execution.kind().layout(), snapshot.get()))
+              .filter(replica -> holds(replica, kind, snapshot))
               .collect(ImmutableList.toImmutableList());
     }
     return new ShardProgress(execution, shard, candidates);
   }
+
+  /** False without a snapshot: unpinned, every shard could answer from another one. */
+  private static boolean holds(ReplicaState replica, QueryKind kind, Optional<Long> snapshot) {
+    return snapshot.isPresent() && SnapshotChooser.holds(replica, kind.layout(), snapshot.get());
+  }
 }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/router/QueryService.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/router/QueryService.java
@@ -145,7 +145,8 @@
     tickets
         .redeem(ticket.get(), fingerprint(request), resendSink)
         .peek(
-            fresh -> fresh.ifPresent(redemption -> runOnce(request, arrivalNanos, redemption, sink)))
+            fresh ->
+                fresh.ifPresent(redemption -> runOnce(request, arrivalNanos, redemption, sink)))
         .peekLeft(error -> sink.accept(Either.left(error)));
   }
 
