--- a/arrowarch-cli/src/main/java/io/arrowarch/cli/DeploymentCommand.java
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/DeploymentCommand.java
@@ -18,12 +18,13 @@
 import java.util.function.IntSupplier;
 
 /** {@code arrowarch-emulator deployment}: prints the document of a sample deployment. */
-@Parameters(commandDescription = "Prints a sample document: demo, nordeste or slovakia")
+@Parameters(commandDescription = "Prints a sample document: demo, single, nordeste or slovakia")
 final class DeploymentCommand implements Command {
   private static final ImmutableMap<String, Function<IntSupplier, ConfigurationDocument>>
       DEPLOYMENTS =
           ImmutableMap.of(
               "demo", SampleDeployments::demo,
+              "single", SampleDeployments::single,
               "nordeste", SampleDeployments::nordeste,
               "slovakia", SampleDeployments::slovakia);
   private static final YAMLMapper YAML =
--- a/arrowarch-cli/src/main/java/io/arrowarch/cli/EmulatedPlatformCommand.java
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/EmulatedPlatformCommand.java
@@ -9,6 +9,7 @@
 import java.io.File;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 
 /** {@code arrowarch-emulator platform}: the platform's read-only services. */
 @Parameters(commandDescription = "Runs a stand-in for the platform until SIGTERM")
@@ -25,7 +26,7 @@
     SocketAddressSetting address = SocketAddressSetting.parse(listen);
     PlatformServer server =
         new PlatformServer(address.host(), address.port(), json.getBytes(StandardCharsets.UTF_8));
-    Processes.runUntilStopped(server, Future::succeededFuture);
+    Processes.runUntilStopped(List.of(server), Future::succeededFuture);
     return ExitCode.OK;
   }
 }
--- a/arrowarch-cli/src/main/java/io/arrowarch/cli/LoadCommand.java
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/LoadCommand.java
@@ -3,12 +3,15 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import com.google.common.collect.ImmutableList;
+import io.arrowarch.core.topology.Configuration;
+import io.arrowarch.emulator.load.DirectLoad;
 import io.arrowarch.emulator.load.LoadOptions;
 import io.arrowarch.emulator.load.LoadResult;
 import io.arrowarch.emulator.load.RouterLoad;
 import io.arrowarch.node.SocketAddressSetting;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import java.io.File;
 import java.io.PrintStream;
 import java.time.Duration;
 import java.util.List;
@@ -32,6 +35,14 @@
   @Parameter(names = "--warm-up-seconds", description = "Time before the measurement")
   private long warmUpSeconds;
 
+  @Parameter(
+      names = "--direct",
+      description = "Configuration document; each round is also sent straight to the back ends")
+  private File direct;
+
+  @Parameter(names = "--rounds", description = "How often the measurement is repeated")
+  private int rounds = 1;
+
   @Override
   public ExitCode run(PrintStream out, PrintStream err) throws CommandException {
     Vertx vertx = Vertx.vertx();
@@ -44,12 +55,18 @@
             rate,
             Duration.ofSeconds(seconds),
             Duration.ofSeconds(warmUpSeconds));
-    out.println("routers: " + await(new RouterLoad(vertx, options).run()));
+    Configuration configuration = direct == null ? null : Documents.readValid(direct);
+    for (int round = 0; round < rounds; round++) {
+      if (configuration != null) {
+        out.println("direct:  " + await(new DirectLoad(vertx, options, configuration).run()));
+      }
+      out.println("routers: " + await(new RouterLoad(vertx, options).run()));
+    }
     vertx.close();
     return ExitCode.OK;
   }
 
-  static LoadResult await(Future<LoadResult> future) throws CommandException {
+  private static LoadResult await(Future<LoadResult> future) throws CommandException {
     try {
       return future.toCompletionStage().toCompletableFuture().get();
     } catch (ExecutionException e) {
--- a/arrowarch-cli/src/main/java/io/arrowarch/cli/Processes.java
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/Processes.java
@@ -5,6 +5,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -16,16 +17,20 @@
   /** Longer than the largest deadline, after which no query can be in progress. */
   private static final Duration LONGEST_STOP = Duration.ofSeconds(75);
 
-  private static final int EVENT_LOOPS = 1;
+  private static final int MAXIMUM_EVENT_LOOPS = 4;
 
   private Processes() {}
 
-  /** Deploys a server and returns only when the process is told to stop. */
-  static void runUntilStopped(Deployable server, Supplier<Future<Void>> drain)
+  /** Deploys servers, one event loop each up to a few, and returns when told to stop. */
+  static void runUntilStopped(List<? extends Deployable> servers, Supplier<Future<Void>> drain)
       throws CommandException {
-    Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(EVENT_LOOPS));
+    int eventLoops = Math.min(MAXIMUM_EVENT_LOOPS, servers.size());
+    Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(eventLoops));
     try {
-      vertx.deployVerticle(server).toCompletionStage().toCompletableFuture().get();
+      Future.all(servers.stream().map(vertx::deployVerticle).toList())
+          .toCompletionStage()
+          .toCompletableFuture()
+          .get();
     } catch (ExecutionException e) {
       vertx.close();
       throw new CommandException("cannot start: " + e.getCause().getMessage(), e);
--- a/arrowarch-emulator/src/main/java/io/arrowarch/emulator/SampleDeployments.java
+++ b/arrowarch-emulator/src/main/java/io/arrowarch/emulator/SampleDeployments.java
@@ -35,6 +35,14 @@
         .build();
   }
 
+  /** Eight groups of two servers and one router, for measurements. */
+  public static ConfigurationDocument single(IntSupplier ports) {
+    return new DeploymentBuilder(ImmutableList.of(zone("recife-1", "recife", 1)), ports)
+        .groups("storefront", 8, 2, 5, 70)
+        .kind(search("listing-search", "storefront", "400ms", 0.5))
+        .build();
+  }
+
   /** Ticket resale: four zones, coverage first. */
   public static ConfigurationDocument nordeste(IntSupplier ports) {
     ImmutableList<ZoneSpec> zones =
