--- /dev/null
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/CorePurityTest.java
@@ -0,0 +1,53 @@
+package io.arrowarch.core;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import java.time.Instant;
+import java.util.Random;
+import org.testng.annotations.Test;
+
+/** The core decides and does nothing else. */
+public class CorePurityTest {
+  private static final JavaClasses CORE =
+      new ClassFileImporter()
+          .withImportOption(new ImportOption.DoNotIncludeTests())
+          .importPackages("io.arrowarch.core");
+
+  @Test
+  public void doesNoInputOrOutputAndStartsNoThreads() {
+    noClasses()
+        .should()
+        .dependOnClassesThat()
+        .resideInAnyPackage(
+            "io.vertx..", "java.net..", "java.nio.channels..", "java.util.concurrent..")
+        .orShould()
+        .dependOnClassesThat()
+        .belongToAnyOf(Thread.class, java.io.File.class)
+        .check(CORE);
+  }
+
+  @Test
+  public void readsNoClockAndMakesNoRandomnessOfItsOwn() {
+    noClasses()
+        .should()
+        .callMethod(System.class, "nanoTime")
+        .orShould()
+        .callMethod(System.class, "currentTimeMillis")
+        .orShould()
+        .callMethod(Instant.class, "now")
+        .orShould()
+        .callConstructor(Random.class)
+        .orShould()
+        .callMethod(Math.class, "random")
+        .check(CORE);
+  }
+
+  @Test
+  public void packagesDependInOneDirection() {
+    slices().matching("io.arrowarch.core.(*)..").should().beFreeOfCycles().check(CORE);
+  }
+}
--- a/arrowarch-node/src/main/java/io/arrowarch/node/RouterNode.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/RouterNode.java
@@ -28,13 +28,19 @@
   private static final Duration CALLER_IDLE_TIMEOUT = Duration.ofSeconds(75);
   private static final Duration STOP_POLL = Duration.ofMillis(20);
 
-  /** Leaves time for the last answers to reach callers, and for late senders to be refused. */
-  private static final Duration LINGER = Duration.ofMillis(300);
+  /** A caller's connection that was quiet for this long has no request on its way. */
+  private static final Duration QUIET = Duration.ofSeconds(1);
+
+  /** A stopping router waits no longer than this for callers to be quiet. */
+  private static final Duration LONGEST_LINGER = Duration.ofSeconds(5);
+
+  private static final Duration LAST_CLOSE = Duration.ofMillis(300);
 
   private final NodeSettings settings;
   private CoreDriver driver;
   private PeerEndpoint peers;
   private CallerApi callerApi;
+  private final OpenConnections callerConnections = new OpenConnections();
   private HttpServer callerServer;
   private SocketAddressSetting callerAddress;
   private SocketAddressSetting peerAddress;
@@ -85,19 +91,26 @@
 
   private void refuseNewQueries(Promise<Void> drained) {
     driver.run(() -> driver.core().refuseNewQueries());
+    long refusingSince = System.nanoTime();
     vertx.setPeriodic(
         STOP_POLL.toMillis(),
         id -> {
-          if (driver.core().pendingQueries() == 0) {
+          if (mayClose(System.nanoTime() - refusingSince)) {
             vertx.cancelTimer(id);
-            vertx.setTimer(LINGER.toMillis(), timer -> closeServers(drained));
+            closeServers(drained);
           }
         });
   }
 
+  private boolean mayClose(long refusingNanos) {
+    boolean quiet = callerConnections.areQuietFor(QUIET.toNanos());
+    boolean overdue = refusingNanos >= LONGEST_LINGER.toNanos();
+    return driver.core().pendingQueries() == 0 && (quiet || overdue);
+  }
+
   private void closeServers(Promise<Void> drained) {
     callerServer
-        .shutdown(LINGER.toMillis(), TimeUnit.MILLISECONDS)
+        .shutdown(LAST_CLOSE.toMillis(), TimeUnit.MILLISECONDS)
         .compose(closed -> peers.close())
         .onComplete(
             closed -> {
@@ -150,7 +163,12 @@
                 .setTcpNoDelay(true)
                 .setIdleTimeout((int) CALLER_IDLE_TIMEOUT.toSeconds()));
     return callerServer
-        .requestHandler(router)
+        .connectionHandler(callerConnections::onOpened)
+        .requestHandler(
+            request -> {
+              callerConnections.onUsed(request.connection());
+              router.handle(request);
+            })
         .listen()
         .onSuccess(server -> callerAddress = settings.callers().withPort(server.actualPort()));
   }
