--- a/arrowarch-emulator/src/main/java/io/arrowarch/emulator/simulation/SimulatedBackend.java
+++ b/arrowarch-emulator/src/main/java/io/arrowarch/emulator/simulation/SimulatedBackend.java
@@ -1,10 +1,12 @@
 package io.arrowarch.emulator.simulation;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableList;
 import io.arrowarch.core.time.TimerQueue;
 import io.arrowarch.core.wire.BackendReply;
 import io.arrowarch.core.wire.BackendReport;
 import io.arrowarch.core.wire.BackendRequest;
+import io.arrowarch.core.wire.SearchHit;
 import io.arrowarch.emulator.backend.BackendModel;
 import io.arrowarch.emulator.backend.BackendOptions;
 import io.arrowarch.emulator.backend.ExecutionLog;
@@ -12,6 +14,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 import java.util.random.RandomGenerator;
 
 /** A back end process in virtual time, with faults in what it says. */
@@ -91,15 +94,24 @@
     lastReply = Optional.of(correct);
   }
 
+  /** A reply that is drawn from the next snapshot, documents included. */
   private static BackendReply withSnapshot(BackendReply reply) {
-    return copy(reply, reply.shard(), reply.snapshot().map(snapshot -> snapshot + 1));
+    Optional<Long> other = reply.snapshot().map(snapshot -> snapshot + 1);
+    return copy(reply, reply.shard(), other, hit -> fromSnapshot(hit, other));
   }
 
   private static BackendReply withShard(BackendReply reply) {
-    return copy(reply, reply.shard() + "0", reply.snapshot());
+    return copy(reply, reply.shard() + "0", reply.snapshot(), hit -> hit);
   }
 
-  private static BackendReply copy(BackendReply reply, String shard, Optional<Long> snapshot) {
+  private static SearchHit fromSnapshot(SearchHit hit, Optional<Long> snapshot) {
+    ObjectNode document = hit.document().deepCopy();
+    snapshot.ifPresent(number -> document.put("snapshot", number));
+    return new SearchHit(hit.id(), hit.score(), document);
+  }
+
+  private static BackendReply copy(
+      BackendReply reply, String shard, Optional<Long> snapshot, UnaryOperator<SearchHit> hits) {
     return new BackendReply(
         reply.attempt(),
         reply.layout(),
@@ -107,7 +119,7 @@
         snapshot,
         reply.outcome(),
         reply.reason(),
-        ImmutableList.copyOf(reply.hits()),
+        reply.hits().stream().map(hits).collect(ImmutableList.toImmutableList()),
         reply.document(),
         reply.report());
   }
--- a/arrowarch-emulator/src/main/java/io/arrowarch/emulator/simulation/SimulatedCluster.java
+++ b/arrowarch-emulator/src/main/java/io/arrowarch/emulator/simulation/SimulatedCluster.java
@@ -165,15 +165,19 @@
     started.start();
   }
 
-  /** Begins a router's planned stop; it is stopped when it has no query in progress. */
-  public void stopRouterAsPlanned(String router, Duration grace) {
+  /**
+   * Begins a router's planned stop; it is stopped when it has no query in progress.
+   *
+   * @param onStopped called at the moment at which the process exits
+   */
+  public void stopRouterAsPlanned(String router, Duration grace, Runnable onStopped) {
     SimulatedRouter stopping = routers.get(router);
     stopping.handle(stopping.core()::announceLeaving);
     time.after(
         grace,
         () -> {
           stopping.handle(stopping.core()::refuseNewQueries);
-          killWhenIdle(stopping);
+          killWhenIdle(stopping, onStopped);
         });
   }
 
@@ -399,12 +403,16 @@
     publishing.handle(() -> publishing.model().publish(newestSnapshot));
   }
 
-  private void killWhenIdle(SimulatedRouter stopping) {
+  private void killWhenIdle(SimulatedRouter stopping, Runnable onStopped) {
+    if (stopping.isDead()) {
+      return;
+    }
     if (stopping.core().pendingQueries() == 0 && !stopping.isFrozen()) {
+      onStopped.run();
       stopping.kill();
       updateMachineList();
     } else {
-      time.after(STOP_POLL, () -> killWhenIdle(stopping));
+      time.after(STOP_POLL, () -> killWhenIdle(stopping, onStopped));
     }
   }
 
--- a/arrowarch-emulator/src/test/java/io/arrowarch/emulator/simulation/Scenario.java
+++ b/arrowarch-emulator/src/test/java/io/arrowarch/emulator/simulation/Scenario.java
@@ -128,7 +128,16 @@
   }
 
   void stopRouter(String router) {
-    cluster.stopRouterAsPlanned(router, Duration.ofSeconds(1));
+    if (cluster.isRouterDead(router)) {
+      return;
+    }
+    cluster.stopRouterAsPlanned(
+        router,
+        Duration.ofSeconds(1),
+        () ->
+            assertThat(pending)
+                .as("queries cut off by the planned stop of %s", router)
+                .noneMatch(waiting -> waiting.router().equals(router) && !isMoot(waiting)));
   }
 
   void killBackend(String backend) {
