Queue a waiting shard only at replicas that may take it

Cause: a shard that waits for room was queued at every untried replica, also at one not heard of lately. When an attempt at that one ended, the shard was polled, found no room elsewhere, was queued there again, and so on without end: the router's event loop spun. Ruled out: the virtual clock (the stack stayed in startWaiting), hedging at delay 0. Change: the waiting list takes the eligible replicas only. Before: QueryCoordinatorTest.shardWaitingForRoomIsNotQueued... hangs (20 s limit).

--- a/arrowarch-core/src/main/java/io/arrowarch/core/query/AttemptDispatcher.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/query/AttemptDispatcher.java
@@ -105,8 +105,8 @@
     return !hedgePolicy.isBudgeted() || budget.tryWithdraw();
   }
 
-  void awaitRoom(ShardProgress progress, AttemptPurpose purpose) {
-    waitingShards.add(progress, purpose);
+  void awaitRoom(ShardProgress progress, List<ReplicaState> eligible, AttemptPurpose purpose) {
+    waitingShards.add(progress, eligible, purpose);
   }
 
   void start(ShardProgress progress, ReplicaState replica, AttemptPurpose purpose) {
--- a/arrowarch-core/src/main/java/io/arrowarch/core/query/QueryExecution.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/query/QueryExecution.java
@@ -124,16 +124,16 @@
 
   /** Sends the next attempt of a shard, lets it wait for room, or gives it up. */
   void tryStart(ShardProgress progress, AttemptPurpose purpose, long nowNanos) {
-    ImmutableList<ReplicaState> untried = dispatcher.eligible(progress.untried(), nowNanos);
-    if (untried.isEmpty()) {
+    ImmutableList<ReplicaState> eligible = dispatcher.eligible(progress.untried(), nowNanos);
+    if (eligible.isEmpty()) {
       lose(progress);
       return;
     }
-    Optional<ReplicaState> replica = dispatcher.choose(untried);
+    Optional<ReplicaState> replica = dispatcher.choose(eligible);
     if (replica.isPresent()) {
       dispatcher.start(progress, replica.get(), purpose);
     } else {
-      dispatcher.awaitRoom(progress, purpose);
+      dispatcher.awaitRoom(progress, eligible, purpose);
     }
   }
 
--- a/arrowarch-core/src/main/java/io/arrowarch/core/query/WaitingShards.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/query/WaitingShards.java
@@ -3,6 +3,7 @@
 import io.arrowarch.core.replica.ReplicaState;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -10,9 +11,10 @@
 final class WaitingShards {
   private final Map<String, ArrayDeque<ShardProgress>> queues = new HashMap<>();
 
-  void add(ShardProgress progress, AttemptPurpose purpose) {
+  /** Queues a shard at replicas that may take it once they have room. */
+  void add(ShardProgress progress, List<ReplicaState> eligible, AttemptPurpose purpose) {
     progress.startWaiting(purpose);
-    for (ReplicaState candidate : progress.untried()) {
+    for (ReplicaState candidate : eligible) {
       queueOf(candidate.backend().id()).add(progress);
     }
   }
--- a/arrowarch-core/src/test/java/io/arrowarch/core/query/QueryCoordinatorTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/query/QueryCoordinatorTest.java
@@ -6,6 +6,7 @@
 import io.arrowarch.core.error.Executed;
 import io.arrowarch.core.wire.BackendReply.NotRunReason;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -176,6 +177,20 @@
     assertThat(counters.retries()).isLessThanOrEqualTo(16 + counters.firstAttempts() / 20 + 1);
   }
 
+  /** Found by experiment slovakia, group frozen: the router span for ever. */
+  @Test(timeOut = 20_000)
+  public void shardWaitingForRoomIsNotQueuedAtAReplicaThatMayNotTakeIt() {
+    fixture.reporting(5L);
+    for (int i = 0; i < 5; i++) {
+      fixture.submit("fetch");
+    }
+    assertThat(fixture.sent).hasSize(4);
+    fixture.coordinator.onFailure(fixture.sent.get(0).id(), AttemptFailure.UNREACHABLE);
+    List.copyOf(fixture.sent).forEach(fixture::succeed);
+    fixture.advance(Duration.ofMillis(200));
+    assertThat(fixture.outcomes).hasSize(5);
+  }
+
   private Attempt attemptFor(String shard) {
     return fixture.sent.stream()
         .filter(attempt -> attempt.request().shard().equals(shard))
