Warm a router up before it is ready; count confirmations within 800 ms

Cause: the first searches after a start timed out in cold code, and routers lost their lease at that time: on a machine short of CPU replies came after 400 ms and were not counted. Ruled out: membership (all members alive), the lease length.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/quorum/ConfirmationRound.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/quorum/ConfirmationRound.java
@@ -14,7 +14,7 @@
    * Statements that come later are not counted. Shorter than the least recovery time, so that no
    * voter that made a statement can have been replaced and recovered within its round.
    */
-  static final Duration TIMEOUT = Duration.ofMillis(400);
+  static final Duration TIMEOUT = Duration.ofMillis(800);
 
   private final long number;
   private final long startNanos;
--- a/arrowarch-node/src/main/java/io/arrowarch/node/OperatorApi.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/OperatorApi.java
@@ -17,12 +17,18 @@
 
   private final CoreDriver driver;
   private final RouterMetrics metrics;
+  private boolean warmedUp;
 
   OperatorApi(CoreDriver driver, RouterMetrics metrics) {
     this.driver = driver;
     this.metrics = metrics;
   }
 
+  /** Lets the node be ready from now on. */
+  void onWarmedUp() {
+    warmedUp = true;
+  }
+
   void mount(Router router) {
     router.get("/v1/status").handler(context -> sendStatus(context, status -> status));
     router.get("/v1/backends").handler(context -> sendStatus(context, RouterStatus::backends));
@@ -48,7 +54,7 @@
   }
 
   private void sendReadiness(RoutingContext context) {
-    boolean ready = driver.core().isReady();
+    boolean ready = warmedUp && driver.core().isReady();
     context
         .response()
         .setStatusCode(ready ? OK : UNAVAILABLE)
--- a/arrowarch-node/src/main/java/io/arrowarch/node/RouterNode.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/RouterNode.java
@@ -26,6 +26,7 @@
 public final class RouterNode extends VerticleBase {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final Duration CALLER_IDLE_TIMEOUT = Duration.ofSeconds(75);
+  private static final Duration CONFIGURATION_POLL = Duration.ofMillis(20);
   private static final Duration STOP_POLL = Duration.ofMillis(20);
 
   /** A caller's connection that was quiet for this long has no request on its way. */
@@ -40,6 +41,7 @@
   private CoreDriver driver;
   private PeerEndpoint peers;
   private CallerApi callerApi;
+  private OperatorApi operatorApi;
   private final OpenConnections callerConnections = new OpenConnections();
   private HttpServer callerServer;
   private SocketAddressSetting callerAddress;
@@ -148,12 +150,36 @@
             new RequestBodyReader(vertx, settings.maximumBodyBytes()),
             metrics,
             settings.id() + "-" + incarnation + "-");
-    return listen(metrics).onSuccess(server -> driver.run(core::start));
+    return listen(metrics)
+        .onSuccess(
+            server -> {
+              driver.run(core::start);
+              warmUpOnceConfigured();
+            });
+  }
+
+  /** Runs on the event loop on purpose: until it is over, the node is not ready. */
+  private void warmUpOnceConfigured() {
+    vertx.setPeriodic(
+        CONFIGURATION_POLL.toMillis(),
+        id ->
+            driver
+                .core()
+                .configurationStore()
+                .inForce()
+                .ifPresent(
+                    configuration -> {
+                      vertx.cancelTimer(id);
+                      int queries = WarmUp.run(configuration);
+                      operatorApi.onWarmedUp();
+                      logger.atInfo().log("Node: warmed up by %d made-up queries.", queries);
+                    }));
   }
 
   private Future<HttpServer> listen(RouterMetrics metrics) {
     Router router = Router.router(vertx);
-    new OperatorApi(driver, metrics).mount(router);
+    operatorApi = new OperatorApi(driver, metrics);
+    operatorApi.mount(router);
     callerApi.mount(router);
     callerServer =
         vertx.createHttpServer(
