Take ports of addresses that outgoing connections do not use; hollow routers

Cause: the demo failed once with 'Address already in use': between the moment at which a free port is released and a router binds it, an outgoing connection from 127.0.0.1 can take it, and two calls could supply the same port. Ruled out: a router of an earlier run (all had exited). Change: ports are taken on 127.0.0.2 for back ends and 127.0.0.3 for routers.

--- a/arrowarch-cli/src/main/java/io/arrowarch/cli/PortsCommand.java
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/AddressesCommand.java
@@ -6,17 +6,17 @@
 import java.io.IOException;
 import java.io.PrintStream;
 
-/** {@code arrowarch-emulator ports}: prints ports that were free a moment ago, for scripts. */
-@Parameters(commandDescription = "Prints free ports, one a line")
-final class PortsCommand implements Command {
+/** {@code arrowarch-emulator addresses}: prints addresses that were free a moment ago. */
+@Parameters(commandDescription = "Prints free loopback addresses, one a line")
+final class AddressesCommand implements Command {
   @Parameter(names = "--count", description = "How many")
   private int count = 1;
 
   @Override
   public ExitCode run(PrintStream out, PrintStream err) throws CommandException {
-    try (FreePorts free = new FreePorts()) {
+    try (FreePorts free = new FreePorts(FreePorts.ROUTER_HOST)) {
       for (int i = 0; i < count; i++) {
-        out.println(free.getAsInt());
+        out.println(FreePorts.ROUTER_HOST + ":" + free.getAsInt());
       }
       return ExitCode.OK;
     } catch (IOException e) {
--- a/arrowarch-cli/src/main/java/io/arrowarch/cli/ArrowarchEmulator.java
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/ArrowarchEmulator.java
@@ -16,9 +16,11 @@
                 "platform", new EmulatedPlatformCommand(),
                 "backend", new EmulatedBackendCommand(),
                 "deployment", new DeploymentCommand(),
-                "ports", new PortsCommand(),
+                "addresses", new AddressesCommand(),
                 "load", new LoadCommand(),
-                "experiment", new ExperimentCommand()));
+                "experiment", new ExperimentCommand(),
+                "hollow", new HollowCommand(),
+                "json", new JsonCommand()));
     System.exit(commandLine.run(arguments, System.out, System.err).code());
   }
 }
--- a/arrowarch-cli/src/main/java/io/arrowarch/cli/DeploymentCommand.java
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/DeploymentCommand.java
@@ -47,7 +47,7 @@
     if (deployment == null) {
       throw new CommandException("no deployment is named '" + name + "'");
     }
-    try (FreePorts free = new FreePorts()) {
+    try (FreePorts free = new FreePorts(FreePorts.BACKEND_HOST)) {
       IntSupplier ports = firstPort == null ? free : new AtomicInteger(firstPort)::getAndIncrement;
       out.print(YAML.writeValueAsString(deployment.apply(ports)));
       return ExitCode.OK;
--- a/arrowarch-cli/src/test/java/io/arrowarch/cli/Fleet.java
+++ b/arrowarch-cli/src/test/java/io/arrowarch/cli/Fleet.java
@@ -35,15 +35,16 @@
   final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
   private final Path directory;
   private final Map<String, ChildProcess> processes = new HashMap<>();
-  private final List<Integer> ports = new ArrayList<>();
+  private final List<String> addresses = new ArrayList<>();
   private ConfigurationDocument document;
 
   Fleet() {
-    try (FreePorts free = new FreePorts()) {
+    try (FreePorts backends = new FreePorts(FreePorts.BACKEND_HOST);
+        FreePorts free = new FreePorts(FreePorts.ROUTER_HOST)) {
       directory = Files.createTempDirectory("fleet");
-      document = SampleDeployments.demo(free);
+      document = SampleDeployments.demo(backends);
       for (int i = 0; i < 1 + 2 * ZONES.size(); i++) {
-        ports.add(free.getAsInt());
+        addresses.add(FreePorts.ROUTER_HOST + ":" + free.getAsInt());
       }
     } catch (IOException e) {
       throw new UncheckedIOException(e);
@@ -68,7 +69,7 @@
   }
 
   String router(int index) {
-    return "127.0.0.1:" + ports.get(1 + index);
+    return addresses.get(1 + index);
   }
 
   String backendAddress(String id) {
@@ -80,8 +81,7 @@
   }
 
   void startRouter(int index) {
-    String contacts =
-        "127.0.0.1:" + ports.get(4) + ", 127.0.0.1:" + ports.get(5) + ", 127.0.0.1:" + ports.get(6);
+    String contacts = String.join(", ", addresses.subList(4, 7));
     Path settings = directory.resolve("router-" + index + ".yaml");
     write(
         settings,
@@ -94,8 +94,8 @@
             + "callers: "
             + router(index)
             + "\n"
-            + "peers: 127.0.0.1:"
-            + ports.get(4 + index)
+            + "peers: "
+            + addresses.get(4 + index)
             + "\n"
             + "platform: "
             + platform()
@@ -132,7 +132,7 @@
   }
 
   String platform() {
-    return "127.0.0.1:" + ports.get(0);
+    return addresses.get(0);
   }
 
   void control(String address, String json) {
--- a/arrowarch-emulator/src/main/java/io/arrowarch/emulator/DeploymentBuilder.java
+++ b/arrowarch-emulator/src/main/java/io/arrowarch/emulator/DeploymentBuilder.java
@@ -12,8 +12,6 @@
 
 /** Builds documents of servers in groups; the replicas of a group lie in successive zones. */
 public final class DeploymentBuilder {
-  private static final String HOST = "127.0.0.1";
-
   private final ImmutableList<ZoneSpec> zones;
   private final IntSupplier ports;
   private final ImmutableList.Builder<LayoutSpec> layouts = ImmutableList.builder();
@@ -80,7 +78,7 @@
     backends.add(
         new BackendSpec(
             id,
-            HOST + ":" + ports.getAsInt(),
+            FreePorts.BACKEND_HOST + ":" + ports.getAsInt(),
             zone,
             SampleDeployments.labels(service),
             slots,
--- a/arrowarch-node/src/main/java/io/arrowarch/node/RouterNode.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/RouterNode.java
@@ -62,6 +62,11 @@
     return peerAddress;
   }
 
+  /** The version in force; 0 without one. May be read from any thread, and lags a moment then. */
+  public long versionInForce() {
+    return driver.core().configurationStore().inForceId().version();
+  }
+
   @Override
   public Future<?> start() {
     driver = new CoreDriver(vertx, context);
