Spread Retry-After of refusals by the node as well

Cause: a stopping or unconfirmed router told every caller the same 500 ms, so that they would come back together. Ruled out: the coordinator's own refusals, which were spread already.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/query/QueryCoordinator.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/query/QueryCoordinator.java
@@ -11,6 +11,7 @@
 import io.arrowarch.core.topology.Selection;
 import io.arrowarch.core.wire.BackendReply;
 import io.vavr.control.Either;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -115,6 +116,11 @@
     return dispatcher.mayWrite(attemptId);
   }
 
+  /** When a caller that is refused should come back; spread, so that they do not come together. */
+  public Duration retryAfter() {
+    return dispatcher.retryAfter();
+  }
+
   /** Queries in progress. */
   public int inProgress() {
     return dispatcher.executions().size();
--- a/arrowarch-core/src/main/java/io/arrowarch/core/router/QueryService.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/router/QueryService.java
@@ -32,7 +32,6 @@
   /** How long a query may wait for the lease of a node that has just started or woken. */
   private static final Duration LONGEST_CONFIRMATION_WAIT = Duration.ofMillis(400);
 
-  private static final Duration RETRY_AFTER = Duration.ofMillis(500);
   private static final char SEPARATOR = '\n';
 
   private final RouterClock clock;
@@ -200,8 +199,8 @@
         .reduce(LONGEST_CONFIRMATION_WAIT, Ordering.natural()::min);
   }
 
-  private static Either<QueryError, QueryAnswer> refusal(ErrorKind kind, String detail) {
-    return Either.left(QueryError.of(kind, detail).withRetryAfter(RETRY_AFTER));
+  private Either<QueryError, QueryAnswer> refusal(ErrorKind kind, String detail) {
+    return Either.left(QueryError.of(kind, detail).withRetryAfter(coordinator.retryAfter()));
   }
 
   private static String fingerprint(QueryRequest request) {
