Write events as nested details, not unwrapped ones

Cause: Jackson cannot unwrap a value with type information; each event logged a stack trace instead. Change: the line names the event and holds its fields under detail.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/event/RouterEvent.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/event/RouterEvent.java
@@ -1,18 +1,21 @@
 package io.arrowarch.core.event;
 
+import com.fasterxml.jackson.annotation.JsonIgnore;
 import com.fasterxml.jackson.annotation.JsonInclude;
-import com.fasterxml.jackson.annotation.JsonTypeInfo;
-import com.fasterxml.jackson.annotation.JsonTypeName;
 
 /**
  * A decision that touches a request, or a change of what the router believes. Names of fields are
  * stable; times are milliseconds. The list with meanings stands in docs/OPERATIONS.md.
  */
-@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "event")
 @JsonInclude(JsonInclude.Include.NON_EMPTY)
 public sealed interface RouterEvent {
+  /** The stable name in logs. */
+  @JsonIgnore
+  String eventName();
+
   /** Whether it is written before and instead of routine events when there is no room for all. */
-  default boolean important() {
+  @JsonIgnore
+  default boolean isImportant() {
     return true;
   }
 
@@ -29,7 +32,6 @@
    * @param reason why it ended now
    * @param version of the configuration that it was handled by; 0 without one
    */
-  @JsonTypeName("request")
   record RequestEnded(
       String requestId,
       String route,
@@ -45,7 +47,13 @@
       double leftMs)
       implements RouterEvent {
     @Override
-    public boolean important() {
+    public String eventName() {
+      return "request";
+    }
+
+    @Override
+    @JsonIgnore
+    public boolean isImportant() {
       return !outcome.equals("answered");
     }
   }
@@ -58,7 +66,6 @@
    * @param reportAgeMs age of its newest report; -1 without one
    * @param budgetLeft extra attempts that the service's window still allows
    */
-  @JsonTypeName("sent")
   record AttemptSent(
       String requestId,
       long attempt,
@@ -74,13 +81,18 @@
       double leftMs)
       implements RouterEvent {
     @Override
-    public boolean important() {
+    public String eventName() {
+      return "sent";
+    }
+
+    @Override
+    @JsonIgnore
+    public boolean isImportant() {
       return !purpose.equals("first");
     }
   }
 
   /** An attempt ended without a usable answer; {@code outcome} says how. */
-  @JsonTypeName("attempt-failed")
   record AttemptFailed(
       String requestId,
       long attempt,
@@ -90,29 +102,54 @@
       int status,
       double tookMs,
       String next)
-      implements RouterEvent {}
+      implements RouterEvent {
+    @Override
+    public String eventName() {
+      return "attempt-failed";
+    }
+  }
 
   /** A server's state changed in the router's view. */
-  @JsonTypeName("server")
   record ServerChanged(String server, String service, String address, String status, long revision)
-      implements RouterEvent {}
+      implements RouterEvent {
+    @Override
+    public String eventName() {
+      return "server";
+    }
+  }
 
   /** A configuration was taken or refused. */
-  @JsonTypeName("configuration")
   record ConfigurationChanged(
       long version, long revision, String outcome, String reason, int routes)
-      implements RouterEvent {}
+      implements RouterEvent {
+    @Override
+    public String eventName() {
+      return "configuration";
+    }
+  }
 
   /** The store was lost, regained or listed anew. */
-  @JsonTypeName("store")
   record StoreChanged(String state, String reason, long revision, int servers)
-      implements RouterEvent {}
+      implements RouterEvent {
+    @Override
+    public String eventName() {
+      return "store";
+    }
+  }
 
   /** How many routers share budgets and connections, as this one believes. */
-  @JsonTypeName("routers")
-  record RoutersChanged(int before, int now) implements RouterEvent {}
+  record RoutersChanged(int before, int now) implements RouterEvent {
+    @Override
+    public String eventName() {
+      return "routers";
+    }
+  }
 
   /** A process starts, is ready, reloads or stops. */
-  @JsonTypeName("process")
-  record ProcessChanged(String state, String reason, double upMs) implements RouterEvent {}
+  record ProcessChanged(String state, String reason, double upMs) implements RouterEvent {
+    @Override
+    public String eventName() {
+      return "process";
+    }
+  }
 }
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/JsonEventLog.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/JsonEventLog.java
@@ -1,6 +1,6 @@
 package io.arrowarch.node.forward;
 
-import com.fasterxml.jackson.annotation.JsonUnwrapped;
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectWriter;
 import com.fasterxml.jackson.databind.json.JsonMapper;
@@ -42,7 +42,7 @@
 
   @Override
   public void log(RouterEvent event) {
-    if (!event.important() && !isSampled(event.requestId())) {
+    if (!event.isImportant() && !isSampled(event.requestId())) {
       return;
     }
     Rate rate = rates.computeIfAbsent(event.getClass(), type -> new Rate());
@@ -62,8 +62,9 @@
   private void write(RouterEvent event, long leftOut) {
     try {
       String line =
-          WRITER.writeValueAsString(new Line(Instant.now().toString(), node, leftOut, event));
-      if (event.important()) {
+          WRITER.writeValueAsString(
+              new Line(Instant.now().toString(), node, leftOut, event.eventName(), event));
+      if (event.isImportant()) {
         logger.atWarning().log("%s", line);
       } else {
         logger.atInfo().log("%s", line);
@@ -78,7 +79,12 @@
    *
    * @param leftOut lines of the same event left out since the last one
    */
-  private record Line(String time, String node, long leftOut, @JsonUnwrapped RouterEvent event) {}
+  private record Line(
+      String time,
+      String node,
+      @JsonInclude(JsonInclude.Include.NON_DEFAULT) long leftOut,
+      String event,
+      RouterEvent detail) {}
 
   /** The same requests at all routers, so that the story of a sampled one is whole. */
   private static boolean isSampled(String requestId) {
