--- a/arrowarch-cli/src/main/java/io/arrowarch/cli/ForwardCommand.java
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/ForwardCommand.java
@@ -9,6 +9,7 @@
 import io.arrowarch.platform.PlatformCallers;
 import io.arrowarch.platform.PlatformServers;
 import io.arrowarch.platform.PlatformStore;
+import io.arrowarch.platform.PlatformWarmUp;
 import io.vavr.control.Either;
 import java.io.File;
 import java.io.IOException;
@@ -31,6 +32,7 @@
             new PlatformCallers(),
             new PlatformServers(),
             new PlatformStore(),
+            new PlatformWarmUp(),
             new JsonEventLog(document.id()));
     Processes.runUntilStopped(List.of(node), node::drain);
     return ExitCode.OK;
--- /dev/null
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/feed/StoreFollowerTest.java
@@ -0,0 +1,196 @@
+package io.arrowarch.core.feed;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import io.arrowarch.core.FakeClock;
+import io.arrowarch.core.time.TimerQueue;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public final class StoreFollowerTest {
+  private FakeClock clock;
+  private TimerQueue timers;
+  private RecordingTransport transport;
+  private RecordingListener listener;
+  private StoreFollower follower;
+
+  @BeforeMethod
+  public void create() {
+    clock = new FakeClock();
+    timers = new TimerQueue();
+    transport = new RecordingTransport();
+    listener = new RecordingListener();
+    follower = new StoreFollower(transport, listener, clock, timers, new Random(1));
+    follower.start();
+  }
+
+  @Test
+  public void watchesFromTheFirstPagesRevision() {
+    answer(100, true, written("a", 10));
+    answer(105, false, written("b", 103));
+
+    assertThat(listener.lines).containsExactly("a@10", "b@103", "listed@100");
+    assertThat(transport.last()).isEqualTo("watch after 100");
+  }
+
+  @Test
+  public void theHigherRevisionOfAKeyWins() {
+    answer(100, true, written("a", 10));
+    answer(105, false, written("b", 103));
+    answer(110, false, written("b", 101), written("b", 103), written("b", 107));
+
+    assertThat(listener.lines).containsExactly("a@10", "b@103", "listed@100", "b@107");
+  }
+
+  @Test
+  public void aDeletionIsToldOnce() {
+    answer(100, false, written("a", 10));
+    answer(111, false, deleted("a", 111));
+    clock.advance(StoreFollower.PAUSE_AFTER_CHANGES);
+    timers.runDue(clock.nanoTime());
+    answer(112, false, deleted("a", 111));
+
+    assertThat(listener.lines).containsExactly("a@10", "listed@100", "-a@111");
+  }
+
+  @Test
+  public void goneHistoryIsListedAnewAndWhatIsMissingIsDeleted() {
+    answer(100, false, written("a", 10), written("b", 20));
+    fail(FeedFailure.HISTORY_GONE);
+    assertThat(transport.last()).isEqualTo("list");
+    answer(200, false, written("b", 20));
+
+    assertThat(listener.lines)
+        .containsExactly("a@10", "b@20", "listed@100", "-a@200", "listed@200");
+  }
+
+  @Test
+  public void aListingThatBreaksOffStartsAnew() {
+    answer(100, true, written("a", 10));
+    fail(FeedFailure.NO_ANSWER);
+    runBackoff();
+
+    assertThat(transport.last()).isEqualTo("list");
+    answer(120, false, written("b", 110));
+    assertThat(listener.lines)
+        .containsExactly("a@10", "lost", "regained", "b@110", "-a@120", "listed@120");
+  }
+
+  @Test
+  public void aFailedWatchGoesOnFromWhereItWas() {
+    answer(100, false);
+    fail(FeedFailure.NO_ANSWER);
+    runBackoff();
+
+    assertThat(transport.last()).isEqualTo("watch after 100");
+    answer(100, false);
+    assertThat(listener.lines).containsExactly("listed@100", "lost", "regained");
+  }
+
+  @Test
+  public void anAnswerToAnEarlierCallIsIgnored() {
+    long first = transport.call;
+    answer(100, false, written("a", 10));
+    follower.onAnswer(first, page(50, false, written("z", 1)));
+
+    assertThat(listener.lines).containsExactly("a@10", "listed@100");
+  }
+
+  @Test
+  public void backoffIsBounded() {
+    answer(100, false);
+    for (int i = 0; i < 20; i++) {
+      fail(FeedFailure.UNAVAILABLE);
+      long due = timers.nextDueNanos().orElseThrow() - clock.nanoTime();
+      assertThat(Duration.ofNanos(due)).isLessThanOrEqualTo(Duration.ofMillis(1_200));
+      runBackoff();
+    }
+  }
+
+  @Test
+  public void silenceIsBelievedForLessThanTheTimeAfterACut() {
+    Duration silence = StoreFollower.LONGEST_WAIT.plus(StoreFollower.ANSWER_SLACK);
+    assertThat(silence).isLessThan(Duration.ofMillis(3_500));
+  }
+
+  private void runBackoff() {
+    clock.advance(Duration.ofNanos(timers.nextDueNanos().orElseThrow() - clock.nanoTime()));
+    timers.runDue(clock.nanoTime());
+  }
+
+  private void answer(long revision, boolean hasMore, FeedItem... items) {
+    follower.onAnswer(transport.call, page(revision, hasMore, items));
+  }
+
+  private void fail(FeedFailure failure) {
+    follower.onFailure(transport.call, failure);
+  }
+
+  private static FeedAnswer page(long revision, boolean hasMore, FeedItem... items) {
+    return new FeedAnswer(ImmutableList.copyOf(items), revision, hasMore);
+  }
+
+  private static FeedItem written(String key, long revision) {
+    return new FeedItem(key, revision, Optional.of(new FeedEntry.Unknown()));
+  }
+
+  private static FeedItem deleted(String key, long revision) {
+    return new FeedItem(key, revision, Optional.empty());
+  }
+
+  private static final class RecordingTransport implements FeedTransport {
+    private final List<String> calls = new ArrayList<>();
+    private long call;
+
+    @Override
+    public void list(long number, Optional<String> afterKey, Duration timeout) {
+      call = number;
+      calls.add("list" + afterKey.map(key -> " after " + key).orElse(""));
+    }
+
+    @Override
+    public void watch(long number, long afterRevision, Duration wait, Duration timeout) {
+      call = number;
+      calls.add("watch after " + afterRevision);
+    }
+
+    String last() {
+      return calls.get(calls.size() - 1);
+    }
+  }
+
+  private static final class RecordingListener implements FeedListener {
+    private final List<String> lines = new ArrayList<>();
+
+    @Override
+    public void onWritten(String key, FeedEntry entry, long revision) {
+      lines.add(key + "@" + revision);
+    }
+
+    @Override
+    public void onDeleted(String key, long revision) {
+      lines.add("-" + key + "@" + revision);
+    }
+
+    @Override
+    public void onListed(long revision) {
+      lines.add("listed@" + revision);
+    }
+
+    @Override
+    public void onLost(FeedFailure failure) {
+      lines.add("lost");
+    }
+
+    @Override
+    public void onRegained() {
+      lines.add("regained");
+    }
+  }
+}
--- /dev/null
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/ForwardFixture.java
@@ -0,0 +1,190 @@
+package io.arrowarch.core.forward;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import io.arrowarch.core.FakeClock;
+import io.arrowarch.core.error.QueryError;
+import io.arrowarch.core.event.EventLog;
+import io.arrowarch.core.route.CallerLimits;
+import io.arrowarch.core.route.Route;
+import io.arrowarch.core.route.RouteTarget;
+import io.arrowarch.core.route.RoutingConfiguration;
+import io.arrowarch.core.route.ServiceSettings;
+import io.arrowarch.core.server.LoadReport;
+import io.arrowarch.core.server.ServerDirectory;
+import io.arrowarch.core.server.ServerEntry;
+import io.arrowarch.core.time.TimerQueue;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+
+/** A coordinator in virtual time whose attempts wait for the test to answer them. */
+final class ForwardFixture implements ServerTransport {
+  static final Duration OBJECTIVE = Duration.ofMillis(200);
+  static final Duration TIMEOUT = Duration.ofSeconds(2);
+  static final int CONNECTIONS = 40;
+
+  final FakeClock clock = new FakeClock();
+  final TimerQueue timers = new TimerQueue();
+  final ServerDirectory directory = new ServerDirectory();
+  final List<ServerAttempt> sent = new ArrayList<>();
+  final List<ServerAttempt> cancelled = new ArrayList<>();
+  final List<Either<QueryError, ForwardedAnswer>> outcomes = new ArrayList<>();
+  final ForwardCoordinator coordinator;
+  private int nextRequest = 1;
+
+  ForwardFixture() {
+    this(4);
+  }
+
+  ForwardFixture(int routers) {
+    coordinator =
+        new ForwardCoordinator(
+            new ForwardOptions(
+                "zone-a",
+                100,
+                new ExtraAttemptRules(0.2, 56, Duration.ofSeconds(10)),
+                Duration.ofSeconds(5)),
+            clock,
+            timers,
+            new Random(1),
+            directory,
+            this,
+            EventLog.NONE,
+            () -> routers);
+    // Past the first window, in which there is no share of the allowance.
+    advance(Duration.ofSeconds(11));
+  }
+
+  /** Routes everything to these services: to one of them when there is one, else to all. */
+  void route(boolean repeatable, String... services) {
+    RouteTarget target =
+        services.length == 1
+            ? new RouteTarget.OneServer(
+                ImmutableList.of(new RouteTarget.WeightedService(services[0], 1)))
+            : new RouteTarget.AllShards(ImmutableList.copyOf(services), 4, 0.5);
+    route(repeatable, target);
+  }
+
+  void route(boolean repeatable, RouteTarget target) {
+    Route route = new Route("route", "host", "/", repeatable, TIMEOUT, OBJECTIVE, 2, 0, target);
+    ImmutableMap.Builder<String, ServiceSettings> settings = ImmutableMap.builder();
+    for (String service : List.of("s", "s1", "s2", "s3", "s4")) {
+      settings.put(service, new ServiceSettings(service, CONNECTIONS));
+    }
+    coordinator.reconfigure(
+        new RoutingConfiguration(
+            1, ImmutableList.of(route), settings.buildOrThrow(), CallerLimits.DEFAULT));
+  }
+
+  void server(String id, String service) {
+    directory.onEntry(entry(id, service, false), clock.nanoTime());
+  }
+
+  static ServerEntry entry(String id, String service, boolean draining) {
+    return new ServerEntry(id, service, "10.0.0.1:80", "zone-a", 2, draining, Duration.ZERO);
+  }
+
+  ForwardHandle submit() {
+    return submit(TIMEOUT);
+  }
+
+  ForwardHandle submit(Duration timeLeft) {
+    ForwardedRequest request =
+        new ForwardedRequest(
+            "request-" + nextRequest++,
+            Optional.of(timeLeft),
+            "GET",
+            "host",
+            "/path",
+            ImmutableList.of(),
+            Payload.EMPTY);
+    return coordinator.submit(request, outcomes::add);
+  }
+
+  void advance(Duration length) {
+    clock.advance(length);
+    timers.runDue(clock.nanoTime());
+  }
+
+  /** Advances in steps, as the event loop of a process does. */
+  void advanceInSteps(Duration length) {
+    for (long millis = 0; millis < length.toMillis(); millis++) {
+      advance(Duration.ofMillis(1));
+    }
+  }
+
+  ServerAttempt attempt(int index) {
+    return sent.get(index);
+  }
+
+  ServerAttempt last() {
+    return sent.get(sent.size() - 1);
+  }
+
+  void answer(ServerAttempt attempt) {
+    coordinator.onReply(attempt.number(), good(attempt));
+  }
+
+  void answer(ServerAttempt attempt, ServerReply reply) {
+    coordinator.onReply(attempt.number(), reply);
+  }
+
+  void fail(ServerAttempt attempt, ServerFailure failure) {
+    coordinator.onFailure(attempt.number(), failure);
+  }
+
+  static ServerReply good(ServerAttempt attempt) {
+    return reply(200, Optional.of("signed-" + attempt.number()), false, false);
+  }
+
+  static ServerReply shed() {
+    return reply(503, Optional.empty(), true, false);
+  }
+
+  static ServerReply misdirected() {
+    return reply(421, Optional.empty(), true, true);
+  }
+
+  static ServerReply serverError() {
+    return reply(500, Optional.of("signed-failure"), false, false);
+  }
+
+  static ServerReply reply(
+      int status, Optional<String> signature, boolean notRun, boolean misdirected) {
+    return new ServerReply(
+        status,
+        true,
+        signature,
+        notRun,
+        misdirected,
+        Optional.of(new LoadReport(0, 0, 2)),
+        ImmutableList.of(),
+        Payload.of(new byte[32]));
+  }
+
+  ForwardedAnswer.Merged merged(int index) {
+    return (ForwardedAnswer.Merged) outcomes.get(index).get();
+  }
+
+  ServerReply passedOn(int index) {
+    return ((ForwardedAnswer.FromServer) outcomes.get(index).get()).reply();
+  }
+
+  QueryError error(int index) {
+    return outcomes.get(index).getLeft();
+  }
+
+  @Override
+  public void send(ServerAttempt attempt) {
+    sent.add(attempt);
+  }
+
+  @Override
+  public void cancel(ServerAttempt attempt) {
+    cancelled.add(attempt);
+  }
+}
--- /dev/null
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/ForwardSearchTest.java
@@ -0,0 +1,231 @@
+package io.arrowarch.core.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.arrowarch.core.error.ErrorKind;
+import io.arrowarch.core.error.Executed;
+import java.time.Duration;
+import java.util.List;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Requests that go to all shards. */
+public final class ForwardSearchTest {
+  private ForwardFixture fixture;
+
+  @BeforeMethod
+  public void create() {
+    fixture = new ForwardFixture();
+    fixture.route(true, "s1", "s2", "s3", "s4");
+    for (String service : new String[] {"s1", "s2", "s3", "s4"}) {
+      fixture.server(service + "-a", service);
+      fixture.server(service + "-b", service);
+    }
+  }
+
+  @Test
+  public void answersWhenAllPartsAreIn() {
+    fixture.submit();
+    assertThat(fixture.sent).hasSize(4);
+    for (int i = 0; i < 4; i++) {
+      assertThat(fixture.outcomes).isEmpty();
+      fixture.answer(fixture.attempt(i));
+    }
+
+    assertThat(fixture.merged(0).missingParts()).isZero();
+    assertThat(fixture.merged(0).signatures()).hasSize(4);
+    assertThat(fixture.merged(0).records().length()).isEqualTo(4 * RecordMerger.RECORD_BYTES);
+  }
+
+  @Test
+  public void answersWithWhatIsInWhenTheObjectiveIsDue() {
+    fixture.submit();
+    for (int i = 0; i < 3; i++) {
+      fixture.answer(fixture.attempt(i));
+    }
+    fixture.advanceInSteps(ForwardFixture.OBJECTIVE);
+
+    assertThat(fixture.merged(0).missingParts()).isEqualTo(1);
+  }
+
+  @Test
+  public void pastTheObjectiveAnswersAsSoonAsTheLeastCoverageIsIn() {
+    fixture.submit();
+    fixture.answer(fixture.attempt(0));
+    fixture.advance(ForwardFixture.OBJECTIVE);
+    assertThat(fixture.outcomes).isEmpty();
+    fixture.answer(fixture.attempt(1));
+
+    assertThat(fixture.merged(0).missingParts()).isEqualTo(2);
+  }
+
+  @Test
+  public void aCallerThatAsksAgainHasLessOfTheObjectiveLeft() {
+    for (int i = 0; i < 3; i++) {
+      fixture.submit();
+      fixture.sent.subList(4 * i, 4 * i + 4).forEach(fixture::answer);
+    }
+    fixture.submit(ForwardFixture.TIMEOUT.minus(Duration.ofMillis(150)));
+    fixture.sent.subList(12, 15).forEach(fixture::answer);
+    fixture.advanceInSteps(Duration.ofMillis(50));
+
+    assertThat(fixture.outcomes).hasSize(4);
+    assertThat(fixture.merged(3).missingParts()).isEqualTo(1);
+  }
+
+  @Test
+  public void hedgesAPartThatIsSlowAtItsOtherServer() {
+    fixture.submit();
+    for (int i = 0; i < 3; i++) {
+      fixture.answer(fixture.attempt(i));
+    }
+    fixture.advanceInSteps(Duration.ofMillis(100));
+    assertThat(fixture.sent).hasSize(5);
+    assertThat(fixture.last().server().service()).isEqualTo(fixture.attempt(3).server().service());
+    assertThat(fixture.last().server().id()).isNotEqualTo(fixture.attempt(3).server().id());
+    fixture.answer(fixture.last());
+
+    assertThat(fixture.merged(0).missingParts()).isZero();
+    assertThat(fixture.cancelled).isEmpty();
+  }
+
+  @Test
+  public void theLosersAnswerChangesNothing() {
+    hedgesAPartThatIsSlowAtItsOtherServer();
+    fixture.answer(fixture.attempt(3));
+
+    assertThat(fixture.outcomes).hasSize(1);
+    assertThat(fixture.coordinator.inProgress()).isZero();
+  }
+
+  @Test
+  public void aServerThatStandsStillIsAvoidedByTheNextRequest() {
+    fixture.submit();
+    for (int i = 0; i < 3; i++) {
+      fixture.answer(fixture.attempt(i));
+    }
+    fixture.advanceInSteps(Duration.ofMillis(130));
+    String still = fixture.attempt(3).server().id();
+    for (int i = 0; i < 10; i++) {
+      int before = fixture.sent.size();
+      fixture.submit();
+      assertThat(fixture.sent.subList(before, before + 4))
+          .noneMatch(attempt -> attempt.server().id().equals(still));
+      fixture.sent.subList(before, before + 4).forEach(fixture::answer);
+    }
+  }
+
+  @Test
+  public void aShedPartIsTriedAtTheOtherServer() {
+    fixture.submit();
+    fixture.answer(fixture.attempt(0), ForwardFixture.shed());
+    assertThat(fixture.sent).hasSize(5);
+    fixture.sent.subList(1, 5).forEach(fixture::answer);
+
+    assertThat(fixture.merged(0).missingParts()).isZero();
+  }
+
+  @Test
+  public void aPartThatFailsAtBothServersIsLeftOut() {
+    fixture.submit();
+    fixture.fail(fixture.attempt(0), ServerFailure.BROKEN);
+    fixture.fail(fixture.attempt(4), ServerFailure.UNREACHABLE);
+    fixture.sent.subList(1, 4).forEach(fixture::answer);
+
+    assertThat(fixture.merged(0).missingParts()).isEqualTo(1);
+  }
+
+  @Test
+  public void aServersFailureIsNoPart() {
+    fixture.submit();
+    fixture.answer(fixture.attempt(0), ForwardFixture.serverError());
+    fixture.answer(fixture.attempt(4), ForwardFixture.serverError());
+    fixture.sent.subList(1, 4).forEach(fixture::answer);
+
+    assertThat(fixture.merged(0).signatures()).hasSize(3);
+  }
+
+  @Test
+  public void tooManyLostPartsEndTheRequestAtOnce() {
+    fixture.submit();
+    for (int part = 0; part < 3; part++) {
+      fixture.fail(fixture.attempt(part), ServerFailure.BROKEN);
+      fixture.fail(fixture.last(), ServerFailure.BROKEN);
+    }
+
+    assertThat(fixture.error(0).kind()).isEqualTo(ErrorKind.COVERAGE_TOO_LOW);
+    assertThat(fixture.error(0).executed()).isEqualTo(Executed.UNKNOWN);
+  }
+
+  @Test
+  public void withoutServersOfEnoughShardsNothingIsSent() {
+    for (String service : new String[] {"s1", "s2", "s3"}) {
+      for (String letter : new String[] {"-a", "-b"}) {
+        fixture.directory.onGone(service + letter, fixture.clock.nanoTime());
+      }
+    }
+    fixture.advance(Duration.ofSeconds(3));
+    fixture.submit();
+
+    assertThat(fixture.sent).isEmpty();
+    assertThat(fixture.error(0).executed()).isEqualTo(Executed.NO);
+    assertThat(fixture.error(0).retryAfter()).isPresent();
+  }
+
+  @Test
+  public void serversThatJustWentAreTheLastResort() {
+    fixture.directory.onGone("s1-a", fixture.clock.nanoTime());
+    fixture.directory.onGone("s1-b", fixture.clock.nanoTime());
+    fixture.submit();
+
+    assertThat(fixture.sent).hasSize(4);
+  }
+
+  @Test
+  public void aDrainingServerGetsNothingWhileThereIsAnother() {
+    fixture.directory.onEntry(ForwardFixture.entry("s1-a", "s1", true), fixture.clock.nanoTime());
+    for (int i = 0; i < 20; i++) {
+      fixture.submit();
+    }
+
+    assertThat(fixture.sent).noneMatch(attempt -> attempt.server().id().equals("s1-a"));
+  }
+
+  @Test
+  public void partsThatNeverComeEndTheRequestAtOnceWhenTheirServersShouldHaveStopped() {
+    fixture.submit(Duration.ofSeconds(30));
+    fixture.advanceInSteps(ForwardFixture.OBJECTIVE.multipliedBy(2));
+    assertThat(fixture.outcomes).isEmpty();
+    fixture.advanceInSteps(Duration.ofMillis(50));
+
+    assertThat(fixture.error(0).kind()).isEqualTo(ErrorKind.COVERAGE_TOO_LOW);
+    assertThat(fixture.error(0).executed()).isEqualTo(Executed.UNKNOWN);
+  }
+
+  @Test
+  public void aCallerThatLeavesStopsItsServers() {
+    ForwardHandle handle = fixture.submit();
+    fixture.answer(fixture.attempt(0));
+    handle.cancel();
+
+    assertThat(fixture.cancelled).hasSize(3);
+    assertThat(fixture.outcomes).isEmpty();
+    assertThat(fixture.coordinator.inProgress()).isZero();
+  }
+
+  @Test
+  public void neverMoreThanItsAttemptsMayRunForAShard() {
+    fixture.server("s1-c", "s1");
+    fixture.server("s1-d", "s1");
+    fixture.submit();
+    for (int i = 0; i < 8; i++) {
+      for (ServerAttempt attempt : List.copyOf(fixture.sent)) {
+        if (attempt.server().service().equals("s1")) {
+          fixture.fail(attempt, ServerFailure.BROKEN);
+        }
+      }
+    }
+
+    assertThat(fixture.sent.stream().filter(a -> a.server().service().equals("s1"))).hasSize(2);
+  }
+}
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
@@ -47,6 +47,7 @@
   private final CallerCodec callerCodec;
   private final AttemptCodec attemptCodec;
   private final FeedCodec feedCodec;
+  private final WarmUpCodec warmUpCodec;
   private final EventLog events;
   private final ForwardMetrics metrics = new ForwardMetrics();
   private final TimerQueue timers = new TimerQueue();
@@ -56,6 +57,7 @@
   private RouterPeers peers;
   private CallerServer callers;
   private SocketAddressSetting callerAddress;
+  private boolean warm;
   private boolean wasReady;
 
   /** Creates a node; deploying it starts it. */
@@ -64,11 +66,13 @@
       CallerCodec callerCodec,
       AttemptCodec attemptCodec,
       FeedCodec feedCodec,
+      WarmUpCodec warmUpCodec,
       EventLog events) {
     this.settings = settings;
     this.callerCodec = callerCodec;
     this.attemptCodec = attemptCodec;
     this.feedCodec = feedCodec;
+    this.warmUpCodec = warmUpCodec;
     this.events = events;
   }
 
@@ -149,6 +153,13 @@
     logProcess("started", "");
     peers.start();
     router.start();
+    new ForwardWarmUp(vertx, context, settings.options(), callerCodec, attemptCodec, warmUpCodec)
+        .run()
+        .onSuccess(
+            searches -> {
+              warm = true;
+              logProcess("warm", searches + " searches");
+            });
   }
 
   private RouterPeers createPeers(
@@ -189,7 +200,7 @@
   }
 
   private boolean isReady() {
-    boolean ready = router.isReady();
+    boolean ready = warm && router.isReady();
     if (ready && !wasReady) {
       logProcess("ready", "");
     }
