--- a/arrowarch-cli/src/main/java/io/arrowarch/cli/Arrowarch.java
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/Arrowarch.java
@@ -8,7 +8,6 @@
 
   /** Runs a subcommand and exits with its {@link ExitCode}. */
   public static void main(String[] arguments) {
-    Logging.configure(LogFormat.TEXT);
     CommandLine commandLine =
         new CommandLine(
             "arrowarch",
--- a/arrowarch-cli/src/main/java/io/arrowarch/cli/Command.java
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/Command.java
@@ -12,4 +12,9 @@
    * @throws CommandException with a sentence for the user, when the command cannot be carried out
    */
   ExitCode run(PrintStream out, PrintStream err) throws CommandException;
+
+  /** Configures logging before the command runs; short commands write sentences for people. */
+  default void configureLogging() {
+    Logging.configure(LogFormat.TEXT);
+  }
 }
--- a/arrowarch-cli/src/main/java/io/arrowarch/cli/CommandLine.java
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/CommandLine.java
@@ -28,7 +28,7 @@
   ExitCode run(String[] arguments, PrintStream out, PrintStream err) {
     GlobalOptions global = new GlobalOptions();
     JCommander.Builder builder = JCommander.newBuilder().programName(program).addObject(global);
-    commands.forEach(builder::addCommand);
+    selected(arguments).forEach(builder::addCommand);
     JCommander parser = builder.build();
     try {
       parser.parse(arguments);
@@ -46,7 +46,16 @@
     return runCommand(commands.get(parser.getParsedCommand()), out, err);
   }
 
+  /** Only the command that is named, when one is: building the others takes a while. */
+  private Map<String, Command> selected(String[] arguments) {
+    if (arguments.length > 0 && commands.containsKey(arguments[0])) {
+      return Map.of(arguments[0], commands.get(arguments[0]));
+    }
+    return commands;
+  }
+
   private ExitCode runCommand(Command command, PrintStream out, PrintStream err) {
+    command.configureLogging();
     try {
       return command.run(out, err);
     } catch (CommandException e) {
--- a/arrowarch-cli/src/main/java/io/arrowarch/cli/ForwardCommand.java
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/ForwardCommand.java
@@ -22,10 +22,18 @@
   @Parameter(names = "--settings", required = true, description = "The router's settings file")
   private File settingsFile;
 
+  @Parameter(
+      names = "--until-warm",
+      description = "Exits as soon as the process is warm; for the archive of classes")
+  private boolean untilWarm;
+
+  /** The event log opens when the process is warm: opening it would hold up the start. */
+  @Override
+  public void configureLogging() {}
+
   @Override
   public ExitCode run(PrintStream out, PrintStream err) throws CommandException {
     ForwardSettingsDocument document = readSettings();
-    Logging.configureEvents();
     ForwardingNode node =
         new ForwardingNode(
             document.toNodeSettings(),
@@ -33,7 +41,11 @@
             new PlatformServers(),
             new PlatformStore(),
             new PlatformWarmUp(),
-            new JsonEventLog(document.id()));
+            new JsonEventLog(document.id(), Logging::configureEvents));
+    if (untilWarm) {
+      node.whenWarm()
+          .onSuccess(searches -> new Thread(() -> System.exit(ExitCode.OK.code()), "exit").start());
+    }
     Processes.runUntilStopped(List.of(node), node::drain);
     return ExitCode.OK;
   }
--- a/arrowarch-cli/src/main/java/io/arrowarch/cli/ForwardSettingsDocument.java
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/ForwardSettingsDocument.java
@@ -1,5 +1,9 @@
 package io.arrowarch.cli;
 
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import com.google.common.base.Preconditions;
 import com.google.common.collect.ImmutableList;
 import com.google.common.io.Files;
@@ -11,6 +15,7 @@
 import io.arrowarch.node.SocketAddressSetting;
 import io.arrowarch.node.forward.ForwardNodeSettings;
 import io.vavr.control.Either;
+import io.vavr.control.Try;
 import java.io.File;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -34,8 +39,13 @@
     Optional<String> stopGrace,
     Optional<Integer> maximumRequests,
     ExtraAttemptsDocument extraAttempts) {
-  private static final SchemaReader READER =
-      SchemaReader.fromResource(ForwardSettingsDocument.class, "forward-settings.schema.json");
+  private static final String SCHEMA = "forward-settings.schema.json";
+  private static final JsonMapper STRICT =
+      JsonMapper.builder()
+          .addModule(new Jdk8Module())
+          .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+          .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+          .build();
   private static final String DEFAULT_STOP_GRACE = "6s";
   private static final int DEFAULT_MAXIMUM_REQUESTS = 1_000;
   private static final Duration DEFAULT_TIME_LEFT = Duration.ofSeconds(10);
@@ -52,11 +62,29 @@
     Preconditions.checkNotNull(extraAttempts, "extraAttempts is null");
   }
 
-  /** Reads a settings file; every fault has its path. */
+  /**
+   * Reads a settings file, JSON or YAML; every fault has its path. A JSON file without faults is
+   * read without the schema, whose reader takes a good part of a process's start.
+   */
   static Either<ImmutableList<ConfigurationFault>, ForwardSettingsDocument> read(File file)
       throws IOException {
     String text = Files.asCharSource(file, StandardCharsets.UTF_8).read();
-    return READER.readYaml(text, ForwardSettingsDocument.class);
+    return Try.of(() -> readStrictly(text))
+        .map(Either::<ImmutableList<ConfigurationFault>, ForwardSettingsDocument>right)
+        .getOrElse(() -> readWithSchema(text));
+  }
+
+  /** Every fault of a text, with its path. */
+  static Either<ImmutableList<ConfigurationFault>, ForwardSettingsDocument> readWithSchema(
+      String text) {
+    return SchemaReader.fromResource(ForwardSettingsDocument.class, SCHEMA)
+        .readYaml(text, ForwardSettingsDocument.class);
+  }
+
+  private static ForwardSettingsDocument readStrictly(String text) throws IOException {
+    ForwardSettingsDocument document = STRICT.readValue(text, ForwardSettingsDocument.class);
+    ForwardNodeSettings unused = document.toNodeSettings();
+    return document;
   }
 
   /** The settings with defaults filled in. */
--- a/arrowarch-cli/src/main/java/io/arrowarch/cli/Processes.java
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/Processes.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import io.vertx.core.file.FileSystemOptions;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -25,7 +26,14 @@
   static void runUntilStopped(List<? extends Deployable> servers, Supplier<Future<Void>> drain)
       throws CommandException {
     int eventLoops = Math.min(MAXIMUM_EVENT_LOOPS, servers.size());
-    Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(eventLoops));
+    Vertx vertx =
+        Vertx.vertx(
+            new VertxOptions()
+                .setEventLoopPoolSize(eventLoops)
+                .setFileSystemOptions(
+                    new FileSystemOptions()
+                        .setFileCachingEnabled(false)
+                        .setClassPathResolvingEnabled(false)));
     try {
       Future.all(servers.stream().map(vertx::deployVerticle).toList())
           .toCompletionStage()
--- a/arrowarch-core/src/main/java/io/arrowarch/core/event/RouterEvent.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/event/RouterEvent.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.annotation.JsonIgnore;
 import com.fasterxml.jackson.annotation.JsonInclude;
+import com.google.common.collect.ImmutableList;
+import java.util.List;
 
 /**
  * A decision that touches a request, or a change of what the router believes. Names of fields are
@@ -31,6 +33,7 @@
    * @param error name of the error kind; empty for a success
    * @param reason why it ended now
    * @param version of the configuration that it was handled by; 0 without one
+   * @param missing parts that are not in the answer, with what was tried for them
    */
   record RequestEnded(
       String requestId,
@@ -44,8 +47,14 @@
       int attempts,
       int extraAttempts,
       double elapsedMs,
-      double leftMs)
+      double leftMs,
+      List<MissingPart> missing)
       implements RouterEvent {
+    /** Copies the list. */
+    public RequestEnded {
+      missing = ImmutableList.copyOf(missing);
+    }
+
     @Override
     public String eventName() {
       return "request";
@@ -58,6 +67,20 @@
     }
   }
 
+  /**
+   * A part that is not in an answer.
+   *
+   * @param state open, waiting for a connection, or lost
+   * @param open attempts that had not ended, as server and age in milliseconds
+   * @param sent attempts in all
+   */
+  record MissingPart(String service, String state, int sent, List<String> open) {
+    /** Copies the list. */
+    public MissingPart {
+      open = ImmutableList.copyOf(open);
+    }
+  }
+
   /**
    * An attempt was sent.
    *
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
@@ -15,6 +15,7 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -29,6 +30,7 @@
   private static final double CONNECTION_SAFETY = 0.9;
 
   private static final int DEFAULT_CONNECTIONS = 16;
+  private static final int MAXIMUM_OPEN = 8;
 
   private final ForwardOptions options;
   private final RouterClock clock;
@@ -90,7 +92,10 @@
     return inProgress;
   }
 
-  /** Connections to one server of a service that this router may hold. */
+  /**
+   * Attempts that this router may have open at one server of a service: its share of the server's
+   * connections, and no more than {@link #MAXIMUM_OPEN}, which more would only make wait there.
+   */
   public int connectionShare(String service) {
     int all =
         configuration
@@ -99,7 +104,7 @@
             .map(ServiceSettings::maximumConnections)
             .orElse(DEFAULT_CONNECTIONS);
     int share = (int) (CONNECTION_SAFETY * all / Math.max(1, routers.getAsInt()));
-    return Math.max(1, share);
+    return Math.max(1, Math.min(MAXIMUM_OPEN, share));
   }
 
   /**
@@ -194,7 +199,19 @@
     long version = configuration.map(RoutingConfiguration::version).orElse(0L);
     events.log(
         new RouterEvent.RequestEnded(
-            request.id(), "", version, "refused", kind.wireName(), detail, 0, 0, 0, 0, 0, 0));
+            request.id(),
+            "",
+            version,
+            "refused",
+            kind.wireName(),
+            detail,
+            0,
+            0,
+            0,
+            0,
+            0,
+            0,
+            List.of()));
     Duration retryAfter = BASE_RETRY_AFTER.plusMillis(random.nextLong(BASE_RETRY_AFTER.toMillis()));
     sink.accept(Either.left(QueryError.of(kind, detail).withRetryAfter(retryAfter)));
     return () -> {};
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
@@ -344,10 +344,6 @@
     finished = true;
     ownTimers.forEach(TimerQueue.Timer::cancel);
     ownTimers.clear();
-    if (!isSearch()) {
-      // Attempts of one server may be long; those of a search end soon, and closing costs more.
-      parts.forEach(sender::cancelAll);
-    }
     long nowNanos = clock.nanoTime();
     int sent = parts.stream().mapToInt(PartProgress::sent).sum();
     events.log(
@@ -363,7 +359,19 @@
             sent,
             Math.max(0, sent - parts.size()),
             elapsedMillis(nowNanos),
-            leftMillis(nowNanos)));
+            leftMillis(nowNanos),
+            missingParts(nowNanos)));
+    if (!isSearch()) {
+      // Attempts of one server may be long; those of a search end soon, and closing costs more.
+      parts.forEach(sender::cancelAll);
+    }
+  }
+
+  private ImmutableList<RouterEvent.MissingPart> missingParts(long nowNanos) {
+    return parts.stream()
+        .filter(part -> part.answer().isEmpty())
+        .map(part -> part.describeMissing(nowNanos))
+        .collect(ImmutableList.toImmutableList());
   }
 
   private boolean isSearch() {
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/PartProgress.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/PartProgress.java
@@ -1,7 +1,9 @@
 package io.arrowarch.core.forward;
 
 import com.google.common.collect.ImmutableList;
+import io.arrowarch.core.event.RouterEvent;
 import io.arrowarch.core.server.ServerState;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -100,4 +102,18 @@
   void onLost() {
     lost = true;
   }
+
+  /** For operators: why there is no answer yet. */
+  RouterEvent.MissingPart describeMissing(long nowNanos) {
+    String state = lost ? "lost" : isWaiting() ? "waiting" : "open";
+    ImmutableList<String> attempts =
+        open.stream()
+            .map(
+                attempt ->
+                    attempt.attempt().server().id()
+                        + ' '
+                        + Duration.ofNanos(nowNanos - attempt.startNanos()).toMillis())
+            .collect(ImmutableList.toImmutableList());
+    return new RouterEvent.MissingPart(service, state, sent, attempts);
+  }
 }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/RouterPeers.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/RouterPeers.java
@@ -24,6 +24,9 @@
   /** A router that has gone may have spent its share within a window of budgets before. */
   private static final Duration COUNT_MEMORY = Duration.ofSeconds(12);
 
+  /** Until the others are known there are taken to be many; contacts are a few of them. */
+  private static final int ROUTERS_FOR_EACH_CONTACT = 3;
+
   private final RouterClock clock;
   private final EventLog events;
   private final Membership membership;
@@ -53,7 +56,7 @@
     this.membership =
         new Membership(
             self, contacts, clock, timers, random, transport, RouterPeers::noConfiguration);
-    this.remembered = 1 + contacts.size();
+    this.remembered = ROUTERS_FOR_EACH_CONTACT * (1 + contacts.size());
     this.rememberedNanos = clock.nanoTime();
   }
 
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardWarmUp.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardWarmUp.java
@@ -33,6 +33,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.IntStream;
 
@@ -47,13 +48,17 @@
   private static final int SHARDS = 20;
   private static final int SEARCHES = 160;
   private static final int AT_ONCE = 4;
+  private static final int LISTINGS = 3;
+  private static final int OK = 200;
   private static final int PART_BYTES = 1_024;
   private static final int RECORDS = 50;
   private static final Duration LONGEST = Duration.ofSeconds(2);
   private static final Duration TIME_LEFT = Duration.ofSeconds(2);
   private static final Duration LAST_CLOSE = Duration.ofMillis(50);
 
+  private final FeedCodec feedCodec;
   private final WarmUpCodec codec;
+  private final BooleanSupplier needless;
   private final TimerQueue timers = new TimerQueue();
   private final ForwardingRouter router;
   private final CallerServer callers;
@@ -65,13 +70,22 @@
   private int sent;
   private int answered;
 
+  /**
+   * Prepares a warm-up.
+   *
+   * @param needless says that callers' requests warm the process themselves and must not wait
+   */
   ForwardWarmUp(
       Vertx vertx,
       Context context,
       ForwardOptions options,
       CallerCodec callerCodec,
       AttemptCodec attemptCodec,
-      WarmUpCodec codec) {
+      FeedCodec feedCodec,
+      WarmUpCodec codec,
+      BooleanSupplier needless) {
+    this.feedCodec = feedCodec;
+    this.needless = needless;
     this.codec = codec;
     EventLoopDriver driver =
         new EventLoopDriver(
@@ -100,6 +114,9 @@
 
   /** Runs; completes with the number of searches answered, and never fails. */
   Future<Integer> run() {
+    for (int i = 0; i < LISTINGS; i++) {
+      feedCodec.decode(OK, codec.listing());
+    }
     return backend
         .listen()
         .compose(
@@ -159,7 +176,8 @@
   }
 
   private void search() {
-    if (sent >= SEARCHES || System.nanoTime() >= endNanos) {
+    boolean enough = sent >= SEARCHES || System.nanoTime() >= endNanos;
+    if (enough || needless.getAsBoolean()) {
       if (answered == sent) {
         ended.tryComplete(answered);
       }
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
@@ -1,7 +1,6 @@
 package io.arrowarch.node.forward;
 
 import com.google.common.collect.ImmutableList;
-import io.arrowarch.core.event.EventLog;
 import io.arrowarch.core.event.RouterEvent;
 import io.arrowarch.core.forward.ForwardingRouter;
 import io.arrowarch.core.forward.RouterPeers;
@@ -48,7 +47,7 @@
   private final AttemptCodec attemptCodec;
   private final FeedCodec feedCodec;
   private final WarmUpCodec warmUpCodec;
-  private final EventLog events;
+  private final JsonEventLog events;
   private final ForwardMetrics metrics = new ForwardMetrics();
   private final TimerQueue timers = new TimerQueue();
   private final long startNanos = System.nanoTime();
@@ -57,7 +56,7 @@
   private RouterPeers peers;
   private CallerServer callers;
   private SocketAddressSetting callerAddress;
-  private boolean warm;
+  private final Promise<Integer> warm = Promise.promise();
   private boolean wasReady;
 
   /** Creates a node; deploying it starts it. */
@@ -67,7 +66,7 @@
       AttemptCodec attemptCodec,
       FeedCodec feedCodec,
       WarmUpCodec warmUpCodec,
-      EventLog events) {
+      JsonEventLog events) {
     this.settings = settings;
     this.callerCodec = callerCodec;
     this.attemptCodec = attemptCodec;
@@ -109,7 +108,11 @@
     vertx.setPeriodic(CONNECTION_SWEEP.toMillis(), id -> connections.closeRested());
     return endpoint
         .listen(settings.peers())
-        .onSuccess(bound -> peers = createPeers(bound, clock, endpoint))
+        .onSuccess(
+            bound -> {
+              peers = createPeers(bound, clock, endpoint);
+              driver.run(router::start);
+            })
         .compose(bound -> callers.listen(settings.callers()))
         .onSuccess(bound -> callerAddress = bound)
         .compose(bound -> listenForReadiness())
@@ -117,6 +120,11 @@
         .onSuccess(bound -> driver.run(this::startDecisions));
   }
 
+  /** Completes with the number of made-up searches when the process is warm. */
+  public Future<Integer> whenWarm() {
+    return warm.future();
+  }
+
   /** Runs a planned stop; completes when the process may exit. */
   public Future<Void> drain() {
     Promise<Void> drained = Promise.promise();
@@ -152,14 +160,23 @@
   private void startDecisions() {
     logProcess("started", "");
     peers.start();
-    router.start();
-    new ForwardWarmUp(vertx, context, settings.options(), callerCodec, attemptCodec, warmUpCodec)
+    new ForwardWarmUp(
+            vertx,
+            context,
+            settings.options(),
+            callerCodec,
+            attemptCodec,
+            feedCodec,
+            warmUpCodec,
+            () -> callers.connectionCount() > 0)
         .run()
-        .onSuccess(
-            searches -> {
-              warm = true;
-              logProcess("warm", searches + " searches");
-            });
+        .onSuccess(this::onWarm);
+  }
+
+  private void onWarm(int searches) {
+    logProcess("warm", searches + " searches");
+    events.open();
+    warm.complete(searches);
   }
 
   private RouterPeers createPeers(
@@ -200,7 +217,7 @@
   }
 
   private boolean isReady() {
-    boolean ready = warm && router.isReady();
+    boolean ready = warm.future().isComplete() && router.isReady();
     if (ready && !wasReady) {
       logProcess("ready", "");
     }
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/JsonEventLog.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/JsonEventLog.java
@@ -10,6 +10,8 @@
 import io.arrowarch.core.event.RouterEvent;
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -26,7 +28,13 @@
   private static final int LINES_A_SECOND = 120;
   private static final long NANOS_PER_SECOND = 1_000_000_000;
 
+  /** Lines kept until the log is open. */
+  private static final int EARLY_LINES = 500;
+
   private final String node;
+  private final Runnable configure;
+  private final Deque<Runnable> early = new ArrayDeque<>();
+  private boolean open;
   private final Map<Class<?>, Rate> rates = new HashMap<>();
 
   private static final class Rate {
@@ -35,9 +43,25 @@
     private long leftOut;
   }
 
-  /** Creates a log of one process. */
-  public JsonEventLog(String node) {
+  /**
+   * Creates a log of one process.
+   *
+   * @param configure configures the process's log; run by {@link #open}
+   */
+  public JsonEventLog(String node, Runnable configure) {
     this.node = node;
+    this.configure = configure;
+  }
+
+  /** Opens the log and writes what came before. */
+  public void open() {
+    if (open) {
+      return;
+    }
+    open = true;
+    configure.run();
+    early.forEach(Runnable::run);
+    early.clear();
   }
 
   @Override
@@ -55,15 +79,21 @@
       rate.leftOut++;
       return;
     }
-    write(event, rate.leftOut);
+    long leftOut = rate.leftOut;
+    Instant time = Instant.now();
     rate.leftOut = 0;
+    if (open) {
+      write(event, leftOut, time);
+    } else if (early.size() < EARLY_LINES) {
+      early.add(() -> write(event, leftOut, time));
+    }
   }
 
-  private void write(RouterEvent event, long leftOut) {
+  private void write(RouterEvent event, long leftOut, Instant time) {
     try {
       String line =
           WRITER.writeValueAsString(
-              new Line(Instant.now().toString(), node, leftOut, event.eventName(), event));
+              new Line(time.toString(), node, leftOut, event.eventName(), event));
       if (event.isImportant()) {
         logger.atWarning().log("%s", line);
       } else {
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/WarmUpCodec.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/WarmUpCodec.java
@@ -10,4 +10,7 @@
 
   /** Writes the headers that a server would answer with. */
   void encodeReply(MultiMap request, MultiMap reply);
+
+  /** An answer of the store with a configuration and a server. */
+  byte[] listing();
 }
