Bound the delay of hedges by two medians; leave servers' connections to routers that lost power

Cause: of parts missing at the objective a third had no hedge since its delay, the 90th percentile, was that of the slow servers themselves. Ruled out: the budget (4 of 680).

--- a/arrowarch-core/src/main/java/io/arrowarch/core/event/RouterEvent.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/event/RouterEvent.java
@@ -73,8 +73,11 @@
    * @param state open, waiting for a connection, or lost
    * @param open attempts that had not ended, as server and age in milliseconds
    * @param sent attempts in all
+   * @param hedgeDenied why there was no second attempt, when last looked at; empty: it was not
+   *     wanted
    */
-  record MissingPart(String service, String state, int sent, List<String> open) {
+  record MissingPart(
+      String service, String state, int sent, List<String> open, String hedgeDenied) {
     /** Copies the list. */
     public MissingPart {
       open = ImmutableList.copyOf(open);
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
@@ -26,8 +26,16 @@
 public final class ForwardCoordinator {
   private static final Duration BASE_RETRY_AFTER = Duration.ofMillis(150);
 
-  /** Connections that are being opened or closed are counted by servers, too. */
-  private static final double CONNECTION_SAFETY = 0.9;
+  /**
+   * The part of a server's connections that routers use. The rest is for those that are being
+   * opened or closed, and for what servers still hold of routers that have lost power.
+   */
+  private static final double USED_FRACTION = 2.0 / 3;
+
+  /** A process that has just started takes half: servers may hold connections of its last life. */
+  private static final Duration CAREFUL_START = Duration.ofSeconds(8);
+
+  private static final int CAREFUL_DIVISOR = 2;
 
   private static final int DEFAULT_CONNECTIONS = 16;
   private static final int MAXIMUM_OPEN = 8;
@@ -39,6 +47,7 @@
   private final EventLog events;
   private final IntSupplier routers;
   private final AttemptSender sender;
+  private final long startNanos;
   private final Map<String, RouteState> routeStates = new HashMap<>();
   private Optional<RoutingConfiguration> configuration = Optional.empty();
   private int inProgress;
@@ -63,7 +72,8 @@
     this.random = random;
     this.events = events;
     this.routers = routers;
-    AttemptBudgets budgets = new AttemptBudgets(options.extraAttempts(), routers, clock.nanoTime());
+    this.startNanos = clock.nanoTime();
+    AttemptBudgets budgets = new AttemptBudgets(options.extraAttempts(), routers, startNanos);
     this.sender =
         new AttemptSender(
             clock,
@@ -103,8 +113,11 @@
             .map(services -> services.get(service))
             .map(ServiceSettings::maximumConnections)
             .orElse(DEFAULT_CONNECTIONS);
-    int share = (int) (CONNECTION_SAFETY * all / Math.max(1, routers.getAsInt()));
-    return Math.max(1, Math.min(MAXIMUM_OPEN, share));
+    double share = USED_FRACTION * all / Math.max(1, routers.getAsInt());
+    if (clock.nanoTime() - startNanos < CAREFUL_START.toNanos()) {
+      share /= CAREFUL_DIVISOR;
+    }
+    return Math.max(1, Math.min(MAXIMUM_OPEN, (int) share));
   }
 
   /**
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
@@ -285,14 +285,20 @@
 
   private boolean hedge(PartProgress part, long nowNanos) {
     if (part.maybeRun() >= route.maximumAttempts()) {
-      return false;
-    }
-    Optional<ServerState> server =
-        sender
-            .choose(part, expectedNanos())
-            .filter(other -> other.stalledNanos(nowNanos) == 0 && other.hasFreeSlot(nowNanos));
-    if (server.isEmpty() || !sender.budgets().tryHedge(part.service(), nowNanos)) {
-      return false;
+      return part.denyHedge("no attempt left");
+    }
+    Optional<ServerState> server = sender.choose(part, expectedNanos());
+    if (server.isEmpty()) {
+      return part.denyHedge("no other server");
+    }
+    if (server.get().stalledNanos(nowNanos) > 0) {
+      return part.denyHedge("the other server stands still");
+    }
+    if (!server.get().hasRoomForHedge(nowNanos)) {
+      return part.denyHedge("the other server is busy");
+    }
+    if (!sender.budgets().tryHedge(part.service(), nowNanos)) {
+      return part.denyHedge("no budget");
     }
     sender.send(this, part, server.get(), AttemptPurpose.HEDGE);
     return true;
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/PartProgress.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/PartProgress.java
@@ -17,6 +17,7 @@
   private final List<OpenAttempt> open = new ArrayList<>();
   private Optional<ServerReply> answer = Optional.empty();
   private Optional<ServerReply> failure = Optional.empty();
+  private String hedgeDenied = "";
   private boolean lost;
   private boolean waiting;
   private int sent;
@@ -99,6 +100,12 @@
     failure = Optional.of(reply);
   }
 
+  /** Notes why there is no second attempt; always false. */
+  boolean denyHedge(String reason) {
+    hedgeDenied = reason;
+    return false;
+  }
+
   void onLost() {
     lost = true;
   }
@@ -114,6 +121,6 @@
                         + ' '
                         + Duration.ofNanos(nowNanos - attempt.startNanos()).toMillis())
             .collect(ImmutableList.toImmutableList());
-    return new RouterEvent.MissingPart(service, state, sent, attempts);
+    return new RouterEvent.MissingPart(service, state, sent, attempts, hedgeDenied);
   }
 }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/RouteState.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/RouteState.java
@@ -14,6 +14,9 @@
   /** Slower answers than this part of all get a second attempt. */
   private static final double HEDGE_QUANTILE = 0.9;
 
+  /** With many slow servers the quantile is theirs; no delay is longer than this many medians. */
+  private static final double HEDGE_MEDIANS = 2;
+
   private static final long MINIMUM_HEDGE_NANOS = 4_000_000;
 
   /** Until latencies are known, an answer is expected after this part of the objective. */
@@ -49,7 +52,9 @@
   /** How long an attempt may be open before a second one starts. */
   long hedgeDelayNanos(Route route) {
     long fallback = route.objective().toNanos() / HEDGE_PARTS;
-    return Math.max(MINIMUM_HEDGE_NANOS, latencies.quantileNanos(HEDGE_QUANTILE, fallback));
+    long slow = latencies.quantileNanos(HEDGE_QUANTILE, fallback);
+    long bound = (long) (HEDGE_MEDIANS * latencies.quantileNanos(TYPICAL, fallback));
+    return Math.max(MINIMUM_HEDGE_NANOS, Math.min(slow, bound));
   }
 
   /** The service that the next request of a weighted route goes to. */
--- a/arrowarch-core/src/main/java/io/arrowarch/core/server/ServerState.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/server/ServerState.java
@@ -19,7 +19,7 @@
   private static final double SPEED_WEIGHT = 0.3;
 
   /** A measured speed counts half after this long without samples. */
-  private static final Duration SPEED_HALF_LIFE = Duration.ofSeconds(2);
+  private static final Duration SPEED_HALF_LIFE = Duration.ofSeconds(4);
 
   private static final double SLOWEST = 20;
   private static final double COLD_SLOWNESS = 1.6;
@@ -102,9 +102,9 @@
     return openAttempts.size() + ofOthers;
   }
 
-  /** Whether one more attempt would run at once, as far as is known. */
-  public boolean hasFreeSlot(long nowNanos) {
-    return load(nowNanos) < entry.slots();
+  /** Whether one more attempt would run at once or be the next to run, as far as is known. */
+  public boolean hasRoomForHedge(long nowNanos) {
+    return load(nowNanos) < entry.slots() + 1;
   }
 
   /** How many times as long as usual its answers take; 1 is normal. */
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/ForwardFixture.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/ForwardFixture.java
@@ -41,6 +41,11 @@
   }
 
   ForwardFixture(int routers) {
+    // Past the first window, in which there is no share of the allowance.
+    this(routers, Duration.ofSeconds(11));
+  }
+
+  ForwardFixture(int routers, Duration age) {
     coordinator =
         new ForwardCoordinator(
             new ForwardOptions(
@@ -55,8 +60,7 @@
             this,
             EventLog.NONE,
             () -> routers);
-    // Past the first window, in which there is no share of the allowance.
-    advance(Duration.ofSeconds(11));
+    advance(age);
   }
 
   /** Routes everything to these services: to one of them when there is one, else to all. */
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/ForwardSingleTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/ForwardSingleTest.java
@@ -167,4 +167,15 @@
     assertThat(fixture.error(0).kind()).isEqualTo(ErrorKind.DEADLINE_EXCEEDED);
     assertThat(fixture.directory.find(silent).orElseThrow().openAttempts()).isZero();
   }
+
+  @Test
+  public void aProcessThatHasJustStartedTakesHalfOfItsConnections() {
+    ForwardFixture settled = new ForwardFixture(6);
+    settled.route(true, "s");
+    ForwardFixture starting = new ForwardFixture(6, Duration.ofSeconds(1));
+    starting.route(true, "s");
+
+    assertThat(settled.coordinator.connectionShare("s")).isEqualTo(4);
+    assertThat(starting.coordinator.connectionShare("s")).isEqualTo(2);
+  }
 }
