--- a/arrowarch-cli/src/main/java/io/arrowarch/cli/Arrowarch.java
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/Arrowarch.java
@@ -17,6 +17,7 @@
                 "check", new CheckCommand(),
                 "query", new QueryCommand(),
                 "status", new StatusCommand(),
+                "trace", new TraceCommand(),
                 "explain", new ExplainCommand()));
     System.exit(commandLine.run(arguments, System.out, System.err).code());
   }
--- a/arrowarch-cli/src/main/java/io/arrowarch/cli/CheckCommand.java
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/CheckCommand.java
@@ -20,6 +20,11 @@
   @Parameter(names = "--settings", description = "The file is a node's settings")
   private boolean settings;
 
+  @Parameter(
+      names = "--forward-settings",
+      description = "The file is the settings of a router that passes requests on")
+  private boolean forwardSettings;
+
   @Parameter(
       names = "--previous",
       description = "The document in force, to check that FILE can follow it")
@@ -28,8 +33,7 @@
   @Override
   public ExitCode run(PrintStream out, PrintStream err) throws CommandException {
     File file = new File(path);
-    ImmutableList<ConfigurationFault> faults =
-        settings ? checkSettings(file) : checkConfiguration(file);
+    ImmutableList<ConfigurationFault> faults = check(file);
     if (faults.isEmpty()) {
       out.println(file + ": no faults");
       return ExitCode.OK;
@@ -38,6 +42,22 @@
     return ExitCode.FAULTS;
   }
 
+  private ImmutableList<ConfigurationFault> check(File file) throws CommandException {
+    if (forwardSettings) {
+      return checkForwardSettings(file);
+    }
+    return settings ? checkSettings(file) : checkConfiguration(file);
+  }
+
+  private static ImmutableList<ConfigurationFault> checkForwardSettings(File file)
+      throws CommandException {
+    try {
+      return ForwardSettingsDocument.read(file).fold(faults -> faults, valid -> ImmutableList.of());
+    } catch (IOException e) {
+      throw new CommandException("cannot read " + file + ": " + e.getMessage(), e);
+    }
+  }
+
   private ImmutableList<ConfigurationFault> checkConfiguration(File file) throws CommandException {
     Either<ImmutableList<ConfigurationFault>, ConfigurationDocument> document =
         Documents.read(file);
--- a/arrowarch-cli/src/test/java/io/arrowarch/cli/Fleet.java
+++ b/arrowarch-cli/src/test/java/io/arrowarch/cli/Fleet.java
@@ -239,7 +239,7 @@
   /** Tests talk to back ends at once, which need not listen when the first routers are ready. */
   private void awaitBackends() {
     await("the platform listens", () -> listens(platform(), "/v1/machines"));
-    for (BackendDocument backend : document.backends()) {
+    for (ConfigurationDocument.BackendSpec backend : document.backends()) {
       await(backend.id() + " listens", () -> listens(backend.address(), "/v1/health"));
     }
   }
--- /dev/null
+++ b/arrowarch-cli/src/test/java/io/arrowarch/cli/ForwardSettingsTest.java
@@ -0,0 +1,70 @@
+package io.arrowarch.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.arrowarch.core.config.ConfigurationFault;
+import io.arrowarch.node.forward.ForwardNodeSettings;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import org.testng.annotations.Test;
+
+public final class ForwardSettingsTest {
+  private static final String VALID =
+      """
+      {"id": "edge-1", "zone": "a", "callers": "10.0.0.1:80", "readiness": "10.0.0.1:81",
+       "peers": "10.0.0.1:82", "store": "10.0.0.9:1", "contacts": ["10.0.0.2:82"],
+       "stopGrace": "6s", "extraAttempts": {"ratio": 0.2, "allowance": 56, "window": "10s"}}
+      """;
+
+  @Test
+  public void jsonIsRead() throws IOException {
+    ForwardNodeSettings settings = read(VALID).toNodeSettings();
+
+    assertThat(settings.stopGrace()).isEqualTo(Duration.ofSeconds(6));
+    assertThat(settings.options().extraAttempts().allowance()).isEqualTo(56);
+    assertThat(settings.contacts()).hasSize(1);
+  }
+
+  @Test
+  public void yamlIsReadToo() throws IOException {
+    String yaml =
+        """
+        id: edge-1
+        zone: a
+        callers: 10.0.0.1:80
+        readiness: 10.0.0.1:81
+        peers: 10.0.0.1:82
+        store: 10.0.0.9:1
+        extraAttempts: {ratio: 0.2, allowance: 56, window: 10s}
+        """;
+    assertThat(read(yaml).toNodeSettings()).isNotNull();
+  }
+
+  @Test
+  public void everyFaultIsNamedWithItsPath() throws IOException {
+    assertThat(faults(VALID.replace("\"10.0.0.9:1\"", "\"somewhere\"")))
+        .extracting(ConfigurationFault::path)
+        .containsExactly("$.store");
+    assertThat(faults(VALID.replace("\"ratio\": 0.2", "\"ratio\": 7")))
+        .extracting(ConfigurationFault::path)
+        .containsExactly("$.extraAttempts.ratio");
+    assertThat(faults(VALID.replace("\"zone\"", "\"zoen\""))).hasSize(2);
+    assertThat(faults("{")).hasSize(1);
+  }
+
+  private static ForwardSettingsDocument read(String text) throws IOException {
+    return ForwardSettingsDocument.read(write(text).toFile()).get();
+  }
+
+  private static List<ConfigurationFault> faults(String text) throws IOException {
+    return ForwardSettingsDocument.read(write(text).toFile()).getLeft();
+  }
+
+  private static Path write(String text) throws IOException {
+    Path file = Files.createTempFile("settings", ".json");
+    return Files.writeString(file, text);
+  }
+}
