--- a/arrowarch-cli/src/main/java/io/arrowarch/cli/ForwardCommand.java
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/ForwardCommand.java
@@ -46,10 +46,19 @@
       node.whenWarm()
           .onSuccess(searches -> new Thread(() -> System.exit(ExitCode.OK.code()), "exit").start());
     }
+    SettingsWatcher.start(settingsFile, () -> reload(node));
     Processes.runUntilStopped(List.of(node), node::drain);
     return ExitCode.OK;
   }
 
+  private void reload(ForwardingNode node) {
+    try {
+      node.reload(readSettings().toNodeSettings());
+    } catch (CommandException e) {
+      node.refuseReload(e.getMessage());
+    }
+  }
+
   private ForwardSettingsDocument readSettings() throws CommandException {
     try {
       Either<ImmutableList<ConfigurationFault>, ForwardSettingsDocument> read =
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/AttemptBudgets.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/AttemptBudgets.java
@@ -6,7 +6,7 @@
 
 /** The budgets of extra attempts, one for each service. */
 final class AttemptBudgets {
-  private final ExtraAttemptRules rules;
+  private ExtraAttemptRules rules;
   private final IntSupplier routers;
   private final long startNanos;
   private final Map<String, ServiceBudget> budgets = new HashMap<>();
@@ -23,6 +23,14 @@
     this.startNanos = startNanos;
   }
 
+  /** Takes other rules; windows that have begun are counted anew when their length changes. */
+  void reconfigure(ExtraAttemptRules changed) {
+    if (!changed.equals(rules)) {
+      rules = changed;
+      budgets.clear();
+    }
+  }
+
   void onRequest(String service, long nowNanos) {
     of(service).onRequest(nowNanos);
   }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
@@ -92,6 +92,11 @@
     configuration = Optional.of(updated);
   }
 
+  /** Takes other bounds of extra attempts; what was spent by the old ones is forgotten. */
+  public void reconfigure(ExtraAttemptRules changed) {
+    sender.budgets().reconfigure(changed);
+  }
+
   /** The configuration in force. */
   public Optional<RoutingConfiguration> configuration() {
     return configuration;
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/RouterPeers.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/RouterPeers.java
@@ -65,6 +65,11 @@
     membership.start();
   }
 
+  /** Adds peer addresses to try. */
+  public void addContacts(List<String> addresses) {
+    membership.addContacts(addresses);
+  }
+
   /** Tells the others that this router is stopping. */
   public void leave() {
     membership.leave();
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/CallerServer.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/CallerServer.java
@@ -40,7 +40,7 @@
   private static final int MAXIMUM_LINE_BYTES = 32 << 10;
   private static final int BACKLOG = 1024;
   private static final Duration SWEEP_INTERVAL = Duration.ofMillis(500);
-  private static final Duration LAST_CLOSE = Duration.ofMillis(200);
+  private static final Duration LAST_CLOSE = Duration.ofMillis(100);
   private static final double NANOS_PER_SECOND = 1e9;
   private static final int OK = 200;
   private static final int SERVICE_UNAVAILABLE = 503;
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardNodeSettings.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardNodeSettings.java
@@ -27,4 +27,14 @@
     SocketAddressSetting store,
     ImmutableList<SocketAddressSetting> contacts,
     Duration stopGrace,
-    ForwardOptions options) {}
+    ForwardOptions options) {
+  /** Whether a change to other settings needs a new process: addresses are bound once. */
+  public boolean needsRestartFor(ForwardNodeSettings changed) {
+    return !callers.equals(changed.callers)
+        || !readiness.equals(changed.readiness)
+        || !peers.equals(changed.peers)
+        || !metrics.equals(changed.metrics)
+        || !store.equals(changed.store)
+        || !id.equals(changed.id);
+  }
+}
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
@@ -37,14 +37,14 @@
   private static final double TURN_AWAY_FRACTION = 0.5;
 
   /** A stop ends in any case before the process is killed. */
-  private static final double LAST_FRACTION = 0.9;
+  private static final double LAST_FRACTION = 0.85;
 
   private static final Duration QUIET = Duration.ofMillis(300);
   private static final int OK = 200;
   private static final int UNAVAILABLE = 503;
   private static final double NANOS_PER_MILLI = 1e6;
 
-  private final ForwardNodeSettings settings;
+  private ForwardNodeSettings settings;
   private final CallerCodec callerCodec;
   private final AttemptCodec attemptCodec;
   private final FeedCodec feedCodec;
@@ -142,6 +142,32 @@
         .orElse("");
   }
 
+  /**
+   * Takes changed settings: contacts, bounds of extra attempts and the grace of a stop. Requests in
+   * progress go on.
+   */
+  public void reload(ForwardNodeSettings changed) {
+    driver.run(
+        () -> {
+          boolean restart = settings.needsRestartFor(changed);
+          settings = changed;
+          peers.addContacts(addresses(changed));
+          router.coordinator().reconfigure(changed.options().extraAttempts());
+          logProcess("reloaded", restart ? "other addresses need a new process" : "");
+        });
+  }
+
+  /** Says that changed settings were not taken. */
+  public void refuseReload(String reason) {
+    driver.run(() -> logProcess("not reloaded", reason));
+  }
+
+  private static ImmutableList<String> addresses(ForwardNodeSettings settings) {
+    return settings.contacts().stream()
+        .map(SocketAddressSetting::toString)
+        .collect(ImmutableList.toImmutableList());
+  }
+
   /** Runs a planned stop; completes when the process may exit. */
   public Future<Void> drain() {
     Promise<Void> drained = Promise.promise();
@@ -224,9 +250,7 @@
             MemberRecord.State.ALIVE);
     return new RouterPeers(
         self,
-        settings.contacts().stream()
-            .map(SocketAddressSetting::toString)
-            .collect(ImmutableList.toImmutableList()),
+        addresses(settings),
         clock,
         timers,
         RandomGenerator.getDefault(),
