--- /dev/null
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/RouterPeersTest.java
@@ -0,0 +1,98 @@
+package io.arrowarch.core.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.arrowarch.core.FakeClock;
+import io.arrowarch.core.event.EventLog;
+import io.arrowarch.core.peer.MemberRecord;
+import io.arrowarch.core.peer.PeerMessage;
+import io.arrowarch.core.time.TimerQueue;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.testng.annotations.Test;
+
+/** Several routers' views over a network in virtual time that may lose routers. */
+public final class RouterPeersTest {
+  private final FakeClock clock = new FakeClock();
+  private final Map<String, RouterPeers> routers = new HashMap<>();
+  private final Map<String, TimerQueue> timers = new HashMap<>();
+  private final Set<String> dead = new HashSet<>();
+  private final List<String> drains = new ArrayList<>();
+
+  @Test
+  public void unknownRoutersAreTakenToBeMany() {
+    assertThat(create("r1", List.of("r2", "r3")).count()).isEqualTo(9);
+  }
+
+  @Test
+  public void allAreCountedAndTheDeadOnlyForAWhile() {
+    for (int i = 1; i <= 6; i++) {
+      create("r" + i, List.of("r1", "r2")).start();
+    }
+    run(Duration.ofSeconds(30));
+    assertThat(routers.get("r5").count()).isEqualTo(6);
+
+    dead.add("r6");
+    dead.add("r4");
+    run(Duration.ofSeconds(5));
+    assertThat(routers.get("r5").count()).isEqualTo(6);
+    run(Duration.ofSeconds(60));
+    assertThat(routers.get("r5").count()).isEqualTo(4);
+  }
+
+  @Test
+  public void aDrainReachesRoutersThatTheStoreDoesNot() {
+    for (int i = 1; i <= 4; i++) {
+      create("r" + i, List.of("r1")).start();
+    }
+    run(Duration.ofSeconds(10));
+    routers.get("r2").tellDrain("server-7");
+    run(Duration.ofSeconds(8));
+
+    assertThat(drains).contains("r3 server-7", "r4 server-7");
+  }
+
+  private RouterPeers create(String id, List<String> contacts) {
+    TimerQueue queue = new TimerQueue();
+    MemberRecord self = new MemberRecord(id, "zone", id, 1, 0, MemberRecord.State.ALIVE);
+    RouterPeers peers =
+        new RouterPeers(
+            self,
+            contacts,
+            clock,
+            queue,
+            new Random(id.hashCode()),
+            (address, message) -> deliver(id, address, message),
+            EventLog.NONE,
+            server -> drains.add(id + " " + server));
+    routers.put(id, peers);
+    timers.put(id, queue);
+    return peers;
+  }
+
+  private void deliver(String from, String to, PeerMessage message) {
+    RouterPeers receiver = routers.get(to);
+    if (receiver != null && !dead.contains(from) && !dead.contains(to)) {
+      receiver.onMessage(message);
+    }
+  }
+
+  private void run(Duration length) {
+    for (long millis = 0; millis < length.toMillis(); millis += 50) {
+      clock.advance(Duration.ofMillis(50));
+      timers.forEach(
+          (id, queue) -> {
+            if (!dead.contains(id)) {
+              queue.runDue(clock.nanoTime());
+              int unused = routers.get(id).count();
+            }
+          });
+    }
+  }
+}
--- /dev/null
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/server/ServerStateTest.java
@@ -0,0 +1,166 @@
+package io.arrowarch.core.server;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+import io.arrowarch.core.FakeClock;
+import java.time.Duration;
+import java.util.List;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public final class ServerStateTest {
+  private static final long EXPECTED = Duration.ofMillis(40).toNanos();
+
+  private FakeClock clock;
+  private ServerDirectory directory;
+  private long nextAttempt;
+
+  @BeforeMethod
+  public void create() {
+    clock = new FakeClock();
+    clock.advance(Duration.ofSeconds(100));
+    directory = new ServerDirectory();
+    nextAttempt = 1;
+    add("a");
+    add("b");
+  }
+
+  @Test
+  public void anUnreachableServerIsSuspendedAtOnceAndTriedAgainLater() {
+    end(start("a"), "a", AttemptVerdict.UNREACHABLE);
+    assertThat(usable()).containsExactly("b");
+    clock.advance(Duration.ofMillis(300));
+    assertThat(usable()).containsExactly("a", "b");
+  }
+
+  @Test
+  public void suspensionsGrowUntilAnAnswerComes() {
+    end(start("a"), "a", AttemptVerdict.UNREACHABLE);
+    clock.advance(Duration.ofMillis(300));
+    end(start("a"), "a", AttemptVerdict.UNREACHABLE);
+    clock.advance(Duration.ofMillis(300));
+    assertThat(usable()).containsExactly("b");
+    clock.advance(Duration.ofMillis(300));
+    end(start("a"), "a", AttemptVerdict.SOUND);
+    end(start("a"), "a", AttemptVerdict.UNREACHABLE);
+    clock.advance(Duration.ofMillis(300));
+    assertThat(usable()).containsExactly("a", "b");
+  }
+
+  @Test
+  public void oneBrokenAnswerSuspendsNobody() {
+    end(start("a"), "a", AttemptVerdict.FAILED);
+    assertThat(usable()).containsExactly("a", "b");
+    end(start("a"), "a", AttemptVerdict.FAILED);
+    assertThat(usable()).containsExactly("b");
+  }
+
+  @Test
+  public void aSuspendedServerIsTriedByOneAttemptAtATime() {
+    end(start("a"), "a", AttemptVerdict.UNREACHABLE);
+    clock.advance(Duration.ofMillis(300));
+    long trial = start("a");
+    assertThat(usable()).containsExactly("b");
+    end(trial, "a", AttemptVerdict.SOUND);
+    assertThat(usable()).containsExactly("a", "b");
+  }
+
+  @Test
+  public void whereAllAreSuspendedTheyAreUsed() {
+    end(start("a"), "a", AttemptVerdict.UNREACHABLE);
+    end(start("b"), "b", AttemptVerdict.UNREACHABLE);
+    assertThat(usable()).containsExactly("a", "b");
+  }
+
+  @Test
+  public void anAttemptOpenForLongSaysThatTheServerStandsStill() {
+    start("a");
+    clock.advance(Duration.ofMillis(100));
+    assertThat(state("a").stalledNanos(clock.nanoTime())).isZero();
+    clock.advance(Duration.ofMillis(100));
+    assertThat(Duration.ofNanos(state("a").stalledNanos(clock.nanoTime())))
+        .isEqualTo(Duration.ofMillis(80));
+  }
+
+  @Test
+  public void slownessIsMeasuredAndForgotten() {
+    for (int i = 0; i < 20; i++) {
+      directory.onEnded("a", start("a"), AttemptVerdict.SOUND, 7, clock.nanoTime());
+    }
+    assertThat(state("a").slowness(clock.nanoTime())).isCloseTo(7, within(0.1));
+    clock.advance(Duration.ofSeconds(40));
+    assertThat(state("a").slowness(clock.nanoTime())).isCloseTo(1, within(0.1));
+  }
+
+  @Test
+  public void aColdServerIsTakenToBeSlow() {
+    directory.onEntry(
+        new ServerEntry("c", "s", "10.0.0.3:80", "z", 2, false, Duration.ofSeconds(3)),
+        clock.nanoTime());
+    assertThat(state("c").slowness(clock.nanoTime())).isGreaterThan(1.5);
+    clock.advance(Duration.ofSeconds(4));
+    assertThat(state("c").slowness(clock.nanoTime())).isEqualTo(1);
+  }
+
+  @Test
+  public void loadIsOwnAttemptsAndTheFreshPartOfOthers() {
+    start("a");
+    directory.onReport("a", new LoadReport(2, 3, 2), clock.nanoTime());
+    assertThat(state("a").load(clock.nanoTime())).isEqualTo(5);
+    clock.advance(Duration.ofMillis(200));
+    assertThat(state("a").load(clock.nanoTime())).isCloseTo(3, within(0.01));
+    clock.advance(Duration.ofMillis(300));
+    assertThat(state("a").load(clock.nanoTime())).isEqualTo(1);
+  }
+
+  @Test
+  public void aLeavingServerIsALastResortForAMomentOnly() {
+    directory.onGone("a", clock.nanoTime());
+    directory.onGone("b", clock.nanoTime());
+    assertThat(usable()).containsExactly("a", "b");
+    clock.advance(ServerState.LAST_RESORT);
+    assertThat(usable()).isEmpty();
+  }
+
+  @Test
+  public void aReplacedServerIsNeverUsedAgain() {
+    end(start("a"), "a", AttemptVerdict.REPLACED);
+    directory.onEntry(entry("a"), clock.nanoTime());
+    assertThat(usable()).containsExactly("b");
+  }
+
+  @Test
+  public void anEntryThatComesBackIsUsedAgain() {
+    directory.onGone("a", clock.nanoTime());
+    assertThat(usable()).containsExactly("b");
+    directory.onEntry(entry("a"), clock.nanoTime());
+    assertThat(usable()).containsExactly("a", "b");
+  }
+
+  private void add(String id) {
+    directory.onEntry(entry(id), clock.nanoTime());
+  }
+
+  private static ServerEntry entry(String id) {
+    return new ServerEntry(id, "s", "10.0.0.1:80", "z", 2, false, Duration.ZERO);
+  }
+
+  private long start(String id) {
+    long attempt = nextAttempt++;
+    directory.onStarted(id, attempt, clock.nanoTime(), EXPECTED);
+    return attempt;
+  }
+
+  private void end(long attempt, String id, AttemptVerdict verdict) {
+    directory.onEnded(id, attempt, verdict, 1, clock.nanoTime());
+  }
+
+  private ServerState state(String id) {
+    return directory.find(id).orElseThrow();
+  }
+
+  private List<String> usable() {
+    return directory.usable("s", clock.nanoTime()).stream().map(ServerState::id).toList();
+  }
+}
--- a/arrowarch-emulator/src/main/java/io/arrowarch/emulator/load/RouterLoad.java
+++ b/arrowarch-emulator/src/main/java/io/arrowarch/emulator/load/RouterLoad.java
@@ -8,6 +8,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
@@ -37,23 +38,46 @@
   }
 
   private void send(long number, LoadGenerator.Recorder recorder) {
-    SocketAddressSetting target = options.targets().get((int) (number % options.targets().size()));
-    RequestOptions request =
-        new RequestOptions()
-            .setMethod(HttpMethod.POST)
-            .setHost(target.host())
-            .setPort(target.port())
-            .setURI(CallerProtocol.QUERY_PATH + options.kind())
-            .putHeader(CallerProtocol.DEADLINE_HEADER, Long.toString(DEADLINE_MILLIS));
-    String body = "{\"query\":{\"text\":\"load " + number + "\"}}";
+    send(number, 0, recorder);
+  }
+
+  /**
+   * Sends a request to the router that is its turn, or, where no connection can be opened, to the
+   * next: a caller turns away from a router that has stopped.
+   */
+  private void send(long number, int refusals, LoadGenerator.Recorder recorder) {
+    int routers = options.targets().size();
+    SocketAddressSetting target = options.targets().get((int) ((number + refusals) % routers));
     client
-        .request(request)
-        .compose(opened -> opened.send(body))
+        .request(requestTo(target))
+        .onSuccess(opened -> send(number, opened, recorder))
+        .onFailure(
+            failure -> {
+              if (refusals + 1 < routers) {
+                send(number, refusals + 1, recorder);
+              } else {
+                recorder.onError(CONNECTION_FAILED);
+              }
+            });
+  }
+
+  private void send(long number, HttpClientRequest opened, LoadGenerator.Recorder recorder) {
+    opened
+        .send("{\"query\":{\"text\":\"load " + number + "\"}}")
         .compose(response -> response.body())
         .onSuccess(answer -> record(answer, recorder))
         .onFailure(failure -> recorder.onError(CONNECTION_FAILED));
   }
 
+  private RequestOptions requestTo(SocketAddressSetting target) {
+    return new RequestOptions()
+        .setMethod(HttpMethod.POST)
+        .setHost(target.host())
+        .setPort(target.port())
+        .setURI(CallerProtocol.QUERY_PATH + options.kind())
+        .putHeader(CallerProtocol.DEADLINE_HEADER, Long.toString(DEADLINE_MILLIS));
+  }
+
   private static void record(Buffer answer, LoadGenerator.Recorder recorder) {
     JsonNode body = WireCodec.decodeTree(answer.getBytes()).get();
     if (body.has("error")) {
--- a/arrowarch-node/src/main/java/io/arrowarch/node/RouterMetrics.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/RouterMetrics.java
@@ -17,7 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.ToDoubleFunction;
 
-/** Metrics of one router in Prometheus form. Names and units stand in docs/OPERATING.md. */
+/** Metrics of one router in Prometheus form. Names and units stand in docs/OPERATIONS.md. */
 final class RouterMetrics {
   private static final String ANSWERED = "answered";
 
