--- a/arrowarch-cli/src/main/java/io/arrowarch/cli/AddressesCommand.java
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/AddressesCommand.java
@@ -2,7 +2,7 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
-import io.arrowarch.emulator.FreePorts;
+import io.arrowarch.emulator.FreeAddresses;
 import java.io.IOException;
 import java.io.PrintStream;
 
@@ -14,9 +14,9 @@
 
   @Override
   public ExitCode run(PrintStream out, PrintStream err) throws CommandException {
-    try (FreePorts free = new FreePorts(FreePorts.ROUTER_HOST)) {
+    try (FreeAddresses free = new FreeAddresses()) {
       for (int i = 0; i < count; i++) {
-        out.println(FreePorts.ROUTER_HOST + ":" + free.getAsInt());
+        out.println(free.get());
       }
       return ExitCode.OK;
     } catch (IOException e) {
--- a/arrowarch-cli/src/main/java/io/arrowarch/cli/DeploymentCommand.java
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/DeploymentCommand.java
@@ -9,18 +9,18 @@
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import com.google.common.collect.ImmutableMap;
 import io.arrowarch.core.config.ConfigurationDocument;
-import io.arrowarch.emulator.FreePorts;
+import io.arrowarch.emulator.FreeAddresses;
 import io.arrowarch.emulator.SampleDeployments;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
-import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 
 /** {@code arrowarch-emulator deployment}: prints the document of a sample deployment. */
 @Parameters(commandDescription = "Prints a sample document: demo, single, nordeste or slovakia")
 final class DeploymentCommand implements Command {
-  private static final ImmutableMap<String, Function<IntSupplier, ConfigurationDocument>>
+  private static final ImmutableMap<String, Function<Supplier<String>, ConfigurationDocument>>
       DEPLOYMENTS =
           ImmutableMap.of(
               "demo", SampleDeployments::demo,
@@ -35,6 +35,9 @@
           .addModule(new Jdk8Module())
           .build();
 
+  /** Where documents with numbered ports put their back ends. */
+  private static final String NUMBERED_HOST = "127.0.0.2";
+
   @Parameter(description = "NAME", required = true)
   private String name;
 
@@ -43,13 +46,12 @@
 
   @Override
   public ExitCode run(PrintStream out, PrintStream err) throws CommandException {
-    Function<IntSupplier, ConfigurationDocument> deployment = DEPLOYMENTS.get(name);
+    Function<Supplier<String>, ConfigurationDocument> deployment = DEPLOYMENTS.get(name);
     if (deployment == null) {
       throw new CommandException("no deployment is named '" + name + "'");
     }
-    try (FreePorts free = new FreePorts(FreePorts.BACKEND_HOST)) {
-      IntSupplier ports = firstPort == null ? free : new AtomicInteger(firstPort)::getAndIncrement;
-      out.print(YAML.writeValueAsString(deployment.apply(ports)));
+    try (FreeAddresses free = new FreeAddresses()) {
+      out.print(YAML.writeValueAsString(deployment.apply(firstPort == null ? free : numbered())));
       return ExitCode.OK;
     } catch (JsonProcessingException e) {
       throw new CommandException("cannot write the document", e);
@@ -57,4 +59,9 @@
       throw new CommandException("no free port: " + e.getMessage(), e);
     }
   }
+
+  private Supplier<String> numbered() {
+    AtomicInteger next = new AtomicInteger(firstPort);
+    return () -> NUMBERED_HOST + ":" + next.getAndIncrement();
+  }
 }
--- a/arrowarch-cli/src/test/java/io/arrowarch/cli/Fleet.java
+++ b/arrowarch-cli/src/test/java/io/arrowarch/cli/Fleet.java
@@ -5,7 +5,7 @@
 import io.arrowarch.core.config.ConfigurationCodec;
 import io.arrowarch.core.config.ConfigurationDocument;
 import io.arrowarch.core.wire.WireCodec;
-import io.arrowarch.emulator.FreePorts;
+import io.arrowarch.emulator.FreeAddresses;
 import io.arrowarch.emulator.SampleDeployments;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -41,12 +41,11 @@
   private ConfigurationDocument document;
 
   Fleet() {
-    try (FreePorts backends = new FreePorts(FreePorts.BACKEND_HOST);
-        FreePorts free = new FreePorts(FreePorts.ROUTER_HOST)) {
+    try (FreeAddresses free = new FreeAddresses()) {
       directory = Files.createTempDirectory("fleet");
-      document = SampleDeployments.demo(backends);
+      document = SampleDeployments.demo(free);
       for (int i = 0; i < 1 + 2 * ZONES.size(); i++) {
-        addresses.add(FreePorts.ROUTER_HOST + ":" + free.getAsInt());
+        addresses.add(free.get());
       }
     } catch (IOException e) {
       throw new UncheckedIOException(e);
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/ForwardFixture.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/ForwardFixture.java
@@ -31,6 +31,10 @@
   final TimerQueue timers = new TimerQueue();
   final ServerDirectory directory = new ServerDirectory();
   final List<ServerAttempt> sent = new ArrayList<>();
+
+  /** When each of {@link #sent} was sent, in nanoseconds. */
+  final List<Long> sentAtNanos = new ArrayList<>();
+
   final List<ServerAttempt> cancelled = new ArrayList<>();
   final List<Either<QueryError, ForwardedAnswer>> outcomes = new ArrayList<>();
   final ForwardCoordinator coordinator;
@@ -185,6 +189,7 @@
   @Override
   public void send(ServerAttempt attempt) {
     sent.add(attempt);
+    sentAtNanos.add(clock.nanoTime());
   }
 
   @Override
--- a/arrowarch-emulator/src/main/java/io/arrowarch/emulator/DeploymentBuilder.java
+++ b/arrowarch-emulator/src/main/java/io/arrowarch/emulator/DeploymentBuilder.java
@@ -8,12 +8,12 @@
 import io.arrowarch.core.config.ConfigurationDocument.LayoutSpec;
 import io.arrowarch.core.config.ConfigurationDocument.ShardSpec;
 import io.arrowarch.core.config.ConfigurationDocument.ZoneSpec;
-import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 
 /** Builds documents of servers in groups; the replicas of a group lie in successive zones. */
 public final class DeploymentBuilder {
   private final ImmutableList<ZoneSpec> zones;
-  private final IntSupplier ports;
+  private final Supplier<String> addresses;
   private final ImmutableList.Builder<LayoutSpec> layouts = ImmutableList.builder();
   private final ImmutableList.Builder<BackendSpec> backends = ImmutableList.builder();
   private final ImmutableList.Builder<KindSpec> kinds = ImmutableList.builder();
@@ -23,11 +23,11 @@
   /**
    * Starts a document of version 1.
    *
-   * @param ports supplies the port of each back end
+   * @param addresses supplies the address of each back end, as IP:PORT
    */
-  public DeploymentBuilder(ImmutableList<ZoneSpec> zones, IntSupplier ports) {
+  public DeploymentBuilder(ImmutableList<ZoneSpec> zones, Supplier<String> addresses) {
     this.zones = zones;
-    this.ports = ports;
+    this.addresses = addresses;
   }
 
   /** Sets the version. */
@@ -78,7 +78,7 @@
     backends.add(
         new BackendSpec(
             id,
-            FreePorts.BACKEND_HOST + ":" + ports.getAsInt(),
+            addresses.get(),
             zone,
             SampleDeployments.labels(service),
             slots,
--- a/arrowarch-emulator/src/main/java/io/arrowarch/emulator/SampleDeployments.java
+++ b/arrowarch-emulator/src/main/java/io/arrowarch/emulator/SampleDeployments.java
@@ -8,7 +8,7 @@
 import io.arrowarch.core.config.ConfigurationDocument.ZoneSpec;
 import io.arrowarch.core.config.Operation;
 import java.util.Optional;
-import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 
 /** The deployments that are shipped as samples, with the sizes that their operators gave. */
 public final class SampleDeployments {
@@ -19,15 +19,15 @@
   /**
    * Eight groups of two servers and three zones of one router each.
    *
-   * @param ports supplies the port of each back end
+   * @param addresses supplies the address of each back end, as IP:PORT
    */
-  public static ConfigurationDocument demo(IntSupplier ports) {
+  public static ConfigurationDocument demo(Supplier<String> addresses) {
     ImmutableList<ZoneSpec> zones =
         ImmutableList.of(
             zone("recife-1", "recife", 1),
             zone("recife-2", "recife", 1),
             zone("salvador", "bahia", 1));
-    return new DeploymentBuilder(zones, ports)
+    return new DeploymentBuilder(zones, addresses)
         .groups("storefront", 8, 2, 5, 70)
         .kind(search("listing-search", "storefront", "400ms", 0.5))
         .kind(fetch("listing-fetch", "storefront", "400ms", true))
@@ -36,22 +36,22 @@
   }
 
   /** Eight groups of two servers and one router, for measurements. */
-  public static ConfigurationDocument single(IntSupplier ports) {
-    return new DeploymentBuilder(ImmutableList.of(zone("recife-1", "recife", 1)), ports)
+  public static ConfigurationDocument single(Supplier<String> addresses) {
+    return new DeploymentBuilder(ImmutableList.of(zone("recife-1", "recife", 1)), addresses)
         .groups("storefront", 8, 2, 5, 70)
         .kind(search("listing-search", "storefront", "400ms", 0.5))
         .build();
   }
 
   /** Ticket resale: four zones, coverage first. */
-  public static ConfigurationDocument nordeste(IntSupplier ports) {
+  public static ConfigurationDocument nordeste(Supplier<String> addresses) {
     ImmutableList<ZoneSpec> zones =
         ImmutableList.of(
             zone("recife-1", "recife", 3),
             zone("recife-2", "recife", 3),
             zone("fortaleza", "fortaleza", 3),
             zone("salvador", "salvador", 3));
-    return new DeploymentBuilder(zones, ports)
+    return new DeploymentBuilder(zones, addresses)
         .groups("storefront", 8, 2, 5, 70)
         .groups("posting", 12, 2, 5, 70)
         .replicas("refunds", 15, 2, 110)
@@ -67,13 +67,13 @@
   }
 
   /** Recipe search: three zones, tail latency first. */
-  public static ConfigurationDocument slovakia(IntSupplier ports) {
+  public static ConfigurationDocument slovakia(Supplier<String> addresses) {
     ImmutableList<ZoneSpec> zones =
         ImmutableList.of(
             zone("bratislava-1", "bratislava", 3),
             zone("bratislava-2", "bratislava", 3),
             zone("trnava", "trnava", 3));
-    return new DeploymentBuilder(zones, ports)
+    return new DeploymentBuilder(zones, addresses)
         .groups("search-front", 8, 2, 2, 70)
         .groups("newsletter", 12, 2, 2, 70)
         .replicas("editors", 4, 3, 110)
--- a/arrowarch-emulator/src/main/java/io/arrowarch/emulator/experiment/Experiments.java
+++ b/arrowarch-emulator/src/main/java/io/arrowarch/emulator/experiment/Experiments.java
@@ -3,7 +3,7 @@
 import com.google.common.collect.ImmutableMap;
 import io.arrowarch.emulator.SampleDeployments;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 
 /** The experiments by name. */
 public final class Experiments {
@@ -15,13 +15,13 @@
           "nordeste",
           new TailExperiment(
               "Nordeste, listing-search",
-              SampleDeployments.nordeste(ports()),
+              SampleDeployments.nordeste(addresses()),
               "listing-search",
               "storefront"),
           "slovakia",
           new TailExperiment(
               "Western Slovakia, recipe-search",
-              SampleDeployments.slovakia(ports()),
+              SampleDeployments.slovakia(addresses()),
               "recipe-search",
               "search-front"),
           "scale",
@@ -29,7 +29,8 @@
 
   private Experiments() {}
 
-  private static IntSupplier ports() {
-    return new AtomicInteger(FIRST_PORT)::getAndIncrement;
+  private static Supplier<String> addresses() {
+    AtomicInteger port = new AtomicInteger(FIRST_PORT);
+    return () -> "127.0.0.2:" + port.getAndIncrement();
   }
 }
--- a/arrowarch-emulator/src/main/java/io/arrowarch/emulator/experiment/ScaleExperiment.java
+++ b/arrowarch-emulator/src/main/java/io/arrowarch/emulator/experiment/ScaleExperiment.java
@@ -158,7 +158,7 @@
       zones.add(new ZoneSpec("z" + zone, "r" + zone / 2, voters.build()));
     }
     AtomicInteger port = new AtomicInteger(FIRST_PORT);
-    return new DeploymentBuilder(zones.build(), port::getAndIncrement)
+    return new DeploymentBuilder(zones.build(), () -> "127.0.0.2:" + port.getAndIncrement())
         .version(version)
         .replicas("hollow", BACKENDS, 2, 110)
         .kind(
