--- a/arrowarch-cli/src/main/java/io/arrowarch/cli/ForwardSettingsDocument.java
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/ForwardSettingsDocument.java
@@ -1,26 +1,25 @@
 package io.arrowarch.cli;
 
-import com.fasterxml.jackson.core.StreamReadFeature;
-import com.fasterxml.jackson.databind.DeserializationFeature;
-import com.fasterxml.jackson.databind.MapperFeature;
-import com.fasterxml.jackson.databind.json.JsonMapper;
-import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import com.google.common.base.Preconditions;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import com.google.common.io.Files;
 import io.arrowarch.core.config.ConfigurationFault;
 import io.arrowarch.core.config.SchemaReader;
 import io.arrowarch.core.forward.ExtraAttemptRules;
 import io.arrowarch.core.forward.ForwardOptions;
 import io.arrowarch.core.time.Durations;
+import io.arrowarch.node.JsonFields;
 import io.arrowarch.node.SocketAddressSetting;
 import io.arrowarch.node.forward.ForwardNodeSettings;
 import io.vavr.control.Either;
 import io.vavr.control.Try;
 import java.io.File;
 import java.io.IOException;
+import java.lang.reflect.RecordComponent;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 
@@ -41,14 +40,6 @@
     Optional<Integer> maximumRequests,
     ExtraAttemptsDocument extraAttempts) {
   private static final String SCHEMA = "forward-settings.schema.json";
-  private static final JsonMapper STRICT =
-      JsonMapper.builder()
-          // Making proxies of annotations takes a good part of a process's start.
-          .disable(MapperFeature.USE_ANNOTATIONS)
-          .addModule(new Jdk8Module())
-          .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
-          .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
-          .build();
   private static final String DEFAULT_STOP_GRACE = "6s";
   private static final int DEFAULT_MAXIMUM_REQUESTS = 1_000;
   private static final Duration DEFAULT_TIME_LEFT = Duration.ofSeconds(10);
@@ -85,11 +76,44 @@
   }
 
   private static ForwardSettingsDocument readStrictly(String text) throws IOException {
-    ForwardSettingsDocument document = STRICT.readValue(text, ForwardSettingsDocument.class);
+    JsonFields fields = JsonFields.parse(text);
+    ForwardSettingsDocument document = fromFields(fields);
     ForwardNodeSettings unused = document.toNodeSettings();
+    requireOnly(ForwardSettingsDocument.class, fields);
+    requireOnly(ExtraAttemptsDocument.class, fields.object("extraAttempts"));
     return document;
   }
 
+  private static void requireOnly(Class<? extends Record> document, JsonFields fields)
+      throws IOException {
+    ImmutableSet<String> known =
+        Arrays.stream(document.getRecordComponents())
+            .map(RecordComponent::getName)
+            .collect(ImmutableSet.toImmutableSet());
+    if (!known.containsAll(fields.names())) {
+      throw new IOException("there are unknown fields");
+    }
+  }
+
+  private static ForwardSettingsDocument fromFields(JsonFields fields) {
+    JsonFields extraAttempts = fields.object("extraAttempts");
+    return new ForwardSettingsDocument(
+        fields.text("id"),
+        fields.text("zone"),
+        fields.text("callers"),
+        fields.text("readiness"),
+        fields.text("peers"),
+        fields.optionalText("metrics"),
+        fields.text("store"),
+        Optional.of(fields.texts("contacts")),
+        fields.optionalText("stopGrace"),
+        fields.optionalWhole("maximumRequests").map(Math::toIntExact),
+        new ExtraAttemptsDocument(
+            extraAttempts.number("ratio"),
+            extraAttempts.number("allowance"),
+            extraAttempts.text("window")));
+  }
+
   /** The settings with defaults filled in. */
   ForwardNodeSettings toNodeSettings() {
     return new ForwardNodeSettings(
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
@@ -16,6 +16,7 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import java.time.Duration;
+import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 
 /**
@@ -29,8 +30,12 @@
   private static final String READY_PATH = "/readyz";
   private static final String METRICS_PATH = "/metrics";
   private static final Duration CONNECTION_SWEEP = Duration.ofMillis(200);
-  private static final Duration PEERS_POLL = Duration.ofMillis(100);
-  private static final Duration LATEST_PEERS = Duration.ofSeconds(1);
+  private static final Duration FIRST_WORK_POLL = Duration.ofMillis(10);
+
+  /** A process that cannot read the store warms up meanwhile. */
+  private static final Duration LATEST_WARM_UP = Duration.ofSeconds(1);
+
+  private static final Duration LATEST_SECOND_WORK = Duration.ofMillis(2_500);
 
   /** Fewer searches than these leave much code that is not compiled. */
   private static final int SEARCHES_WHEN_WARM = 40;
@@ -206,42 +211,56 @@
 
   private void startDecisions() {
     logProcess("started", "");
-    startPeersOnceListed();
-    new ForwardWarmUp(
-            vertx,
-            context,
-            settings.options(),
-            callerCodec,
-            attemptCodec,
-            feedCodec,
-            warmUpCodec,
-            () -> callers.connectionCount() > 0)
-        .run()
-        .onSuccess(this::onWarm);
+    afterStart(
+        FIRST_WORK_POLL,
+        LATEST_WARM_UP,
+        () -> router.follower().hasListed(),
+        () ->
+            new ForwardWarmUp(
+                    vertx,
+                    context,
+                    settings.options(),
+                    callerCodec,
+                    attemptCodec,
+                    feedCodec,
+                    warmUpCodec,
+                    () -> callers.connectionCount() > 0)
+                .run()
+                .onSuccess(this::onWarm));
   }
 
-  /**
-   * The first messages to peers load much code, for which the listing of the store must not wait.
-   */
-  private void startPeersOnceListed() {
-    long startedNanos = System.nanoTime();
+  /** Runs a task once a condition holds, or some time after the start in any case. */
+  private void afterStart(
+      Duration poll, Duration latest, BooleanSupplier condition, Runnable task) {
     vertx.setPeriodic(
-        PEERS_POLL.toMillis(),
+        poll.toMillis(),
         id -> {
-          boolean overdue = System.nanoTime() - startedNanos > LATEST_PEERS.toNanos();
-          if (router.follower().hasListed() || overdue) {
+          boolean overdue = System.nanoTime() - startNanos > latest.toNanos();
+          if (overdue || condition.getAsBoolean()) {
             vertx.cancelTimer(id);
-            driver.run(peers::start);
+            task.run();
           }
         });
   }
 
+  /**
+   * The log and the first messages to peers load much code. While callers wait for a process that
+   * has just started, both have time; what is logged until then is kept.
+   */
   private void onWarm(int searches) {
+    boolean compiled = searches >= SEARCHES_WHEN_WARM;
     logProcess("warm", searches + " searches");
-    if (searches >= SEARCHES_WHEN_WARM) {
+    if (compiled) {
       driver.run(() -> router.coordinator().onWarm());
     }
-    events.open();
+    afterStart(
+        FIRST_WORK_POLL,
+        LATEST_SECOND_WORK,
+        () -> compiled,
+        () -> {
+          events.open();
+          driver.run(peers::start);
+        });
     warm.complete(searches);
   }
 
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/JsonEventLog.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/JsonEventLog.java
@@ -23,7 +23,6 @@
  */
 public final class JsonEventLog implements EventLog {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-  private static final ObjectWriter WRITER = JsonMapper.builder().build().writer();
   private static final int SAMPLED_ONE_IN = 64;
   private static final int LINES_A_SECOND = 120;
   private static final long NANOS_PER_SECOND = 1_000_000_000;
@@ -37,6 +36,9 @@
   private boolean open;
   private final Map<Class<?>, Rate> rates = new HashMap<>();
 
+  /** Made when the log is opened: making it holds up a start. */
+  private ObjectWriter writer;
+
   private static final class Rate {
     private long second = Long.MIN_VALUE;
     private int lines;
@@ -59,6 +61,7 @@
       return;
     }
     open = true;
+    writer = JsonMapper.builder().build().writer();
     configure.run();
     early.forEach(Runnable::run);
     early.clear();
@@ -92,7 +95,7 @@
   private void write(RouterEvent event, long leftOut, Instant time) {
     try {
       String line =
-          WRITER.writeValueAsString(
+          writer.writeValueAsString(
               new Line(time.toString(), node, leftOut, event.eventName(), event));
       if (event.isImportant()) {
         logger.atWarning().log("%s", line);
