--- a/arrowarch-cli/src/test/java/io/arrowarch/cli/EventLogTest.java
+++ b/arrowarch-cli/src/test/java/io/arrowarch/cli/EventLogTest.java
@@ -75,9 +75,34 @@
                     .isEqualTo("request"));
   }
 
+  @Test(timeOut = 120_000)
+  public void whatCameBeforeTheLogWasOpenIsWrittenInItsOrder() {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    System.setOut(new PrintStream(out, true, StandardCharsets.UTF_8));
+    JsonEventLog log = new JsonEventLog("node", Logging::configureEvents);
+    for (int i = 0; i < 3; i++) {
+      log.log(failure("early-" + i));
+    }
+    log.prepare();
+    assertThat(log.open(2)).isFalse();
+    log.log(failure("early-3"));
+    assertThat(log.open(2)).isTrue();
+    log.log(failure("late"));
+    while (lines(out, "late").isEmpty()) {
+      LockSupport.parkNanos(POLL_NANOS);
+    }
+
+    List<String> written = lines(out, "early-");
+    assertThat(written).hasSize(4);
+    for (int i = 0; i < 4; i++) {
+      assertThat(written.get(i)).contains("early-" + i);
+    }
+  }
+
   private static JsonEventLog opened() {
     JsonEventLog log = new JsonEventLog("node", Logging::configureEvents);
-    log.open();
+    log.prepare();
+    assertThat(log.open(1)).isTrue();
     return log;
   }
 
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/AttemptSender.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/AttemptSender.java
@@ -11,7 +11,9 @@
 import io.arrowarch.core.server.ServerState;
 import io.arrowarch.core.time.RouterClock;
 import io.arrowarch.core.time.TimerQueue;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.ToIntFunction;
@@ -68,23 +70,25 @@
     return budgets;
   }
 
-  ImmutableList<ServerState> usable(String service) {
+  List<ServerState> usable(String service) {
     return directory.usable(service, clock.nanoTime());
   }
 
   /** The best server for a part that has not been tried and has a connection to spare. */
   Optional<ServerState> choose(PartProgress part, long expectedNanos) {
     int share = connectionShare.applyAsInt(part.service());
-    ImmutableList<ServerState> withRoom =
-        part.untried(usable(part.service())).stream()
-            .filter(server -> server.openAttempts() < share)
-            .collect(ImmutableList.toImmutableList());
+    List<ServerState> withRoom = new ArrayList<>();
+    for (ServerState server : usable(part.service())) {
+      if (server.openAttempts() < share && !part.hasTried(server)) {
+        withRoom.add(server);
+      }
+    }
     return chooser.choose(withRoom, expectedNanos, clock.nanoTime());
   }
 
   /** Whether a part's untried servers only lack connections. */
   boolean mayWait(PartProgress part) {
-    return !part.untried(usable(part.service())).isEmpty();
+    return usable(part.service()).stream().anyMatch(server -> !part.hasTried(server));
   }
 
   /** Starts the part as soon as a server of its service has a connection to spare. */
@@ -187,11 +191,15 @@
       ServerState server,
       PartProgress.OpenAttempt open,
       long nowNanos) {
+    String requestId = execution.request().id();
+    if (open.purpose() == AttemptPurpose.FIRST && !events.isSampled(requestId)) {
+      return;
+    }
     double reportAge =
         server.report().isPresent() ? server.reportAge(nowNanos).toNanos() / NANOS_PER_MILLI : -1;
     events.log(
         new RouterEvent.AttemptSent(
-            execution.request().id(),
+            requestId,
             open.attempt().number(),
             open.purpose().logName(),
             part.service(),
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
@@ -41,6 +41,7 @@
   private boolean finished;
   private boolean late;
   private int partsIn;
+  private int partsLost;
 
   ForwardExecution(
       ForwardedRequest request,
@@ -120,9 +121,7 @@
   /** Sends the first attempt of every part, or refuses the request before any is sent. */
   void start() {
     started = true;
-    long reachable =
-        parts.stream().filter(part -> !sender.usable(part.service()).isEmpty()).count();
-    if (reachable < minimumParts) {
+    if (reachableParts() < minimumParts) {
       finishWithError(ErrorKind.NOTHING_SELECTED, "too few services have a usable server");
       return;
     }
@@ -139,6 +138,16 @@
     scheduleHedging();
   }
 
+  private int reachableParts() {
+    int reachable = 0;
+    for (PartProgress part : parts) {
+      if (!sender.usable(part.service()).isEmpty()) {
+        reachable++;
+      }
+    }
+    return reachable;
+  }
+
   /** Refuses a request that has not been started. */
   void refuse(String detail, Duration retryAfter) {
     finish("refused", ErrorKind.OVERLOADED.wireName(), detail);
@@ -245,6 +254,7 @@
 
   private void lose(PartProgress part) {
     part.onLost();
+    partsLost++;
     finishIfPossible("all parts that can come are in");
   }
 
@@ -252,10 +262,9 @@
     if (finished) {
       return;
     }
-    long lost = parts.stream().filter(PartProgress::isLost).count();
-    if (parts.size() - lost < minimumParts) {
+    if (parts.size() - partsLost < minimumParts) {
       finishHopeless();
-    } else if (partsIn + lost == parts.size() || (late && partsIn >= minimumParts)) {
+    } else if (partsIn + partsLost == parts.size() || (late && partsIn >= minimumParts)) {
       finishWithAnswer(late ? "past the objective" : reason);
     }
   }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/PartProgress.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/PartProgress.java
@@ -34,10 +34,8 @@
     return service;
   }
 
-  ImmutableList<ServerState> untried(List<ServerState> servers) {
-    return servers.stream()
-        .filter(server -> !tried.contains(server.id()))
-        .collect(ImmutableList.toImmutableList());
+  boolean hasTried(ServerState server) {
+    return tried.contains(server.id());
   }
 
   List<OpenAttempt> open() {
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/RecordMerger.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/RecordMerger.java
@@ -14,9 +14,15 @@
   /** The greatest {@code limit} records of all parts, falling; equal ones all count. */
   static Payload merge(List<Payload> parts, int limit) {
     PriorityQueue<Slice> greatest = new PriorityQueue<>(RecordMerger::compare);
+    // Most records differ from the least that counts in their first byte, which is cheap to see.
+    int leastFirst = 0;
     for (Payload part : parts) {
-      for (int at = 0; at + RECORD_BYTES <= part.length(); at += RECORD_BYTES) {
-        offer(greatest, new Slice(part, at), limit);
+      byte[] bytes = part.bytes();
+      for (int at = 0; at + RECORD_BYTES <= bytes.length; at += RECORD_BYTES) {
+        if (Byte.toUnsignedInt(bytes[at]) >= leastFirst) {
+          offer(greatest, new Slice(part, at), limit);
+          leastFirst = greatest.size() < limit ? 0 : firstByte(greatest.peek());
+        }
       }
     }
     byte[] merged = new byte[greatest.size() * RECORD_BYTES];
@@ -29,6 +35,10 @@
 
   private record Slice(Payload payload, int offset) {}
 
+  private static int firstByte(Slice slice) {
+    return slice == null ? 0 : Byte.toUnsignedInt(slice.payload().bytes()[slice.offset()]);
+  }
+
   private static void offer(PriorityQueue<Slice> greatest, Slice slice, int limit) {
     if (greatest.size() < limit) {
       greatest.add(slice);
--- a/arrowarch-core/src/main/java/io/arrowarch/core/server/ServerDirectory.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/server/ServerDirectory.java
@@ -4,9 +4,11 @@
 import com.google.common.collect.LinkedHashMultimap;
 import com.google.common.collect.SetMultimap;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -84,10 +86,10 @@
    * The servers of a service that may take new work, of the best group that has any: ready and
    * sound; ready but suspended; leaving a moment ago.
    */
-  public ImmutableList<ServerState> usable(String service, long nowNanos) {
-    ImmutableList.Builder<ServerState> sound = ImmutableList.builder();
-    ImmutableList.Builder<ServerState> suspended = ImmutableList.builder();
-    ImmutableList.Builder<ServerState> lastResort = ImmutableList.builder();
+  public List<ServerState> usable(String service, long nowNanos) {
+    List<ServerState> sound = new ArrayList<>();
+    List<ServerState> suspended = new ArrayList<>();
+    List<ServerState> lastResort = new ArrayList<>();
     for (ServerState server : byService.get(service)) {
       if (server.status() == ServerStatus.READY) {
         (server.isSuspended(nowNanos) ? suspended : sound).add(server);
@@ -95,17 +97,10 @@
         lastResort.add(server);
       }
     }
-    return firstNotEmpty(sound.build(), suspended.build(), lastResort.build());
-  }
-
-  @SafeVarargs
-  private static ImmutableList<ServerState> firstNotEmpty(ImmutableList<ServerState>... groups) {
-    for (ImmutableList<ServerState> group : groups) {
-      if (!group.isEmpty()) {
-        return group;
-      }
+    if (!sound.isEmpty()) {
+      return sound;
     }
-    return ImmutableList.of();
+    return suspended.isEmpty() ? lastResort : suspended;
   }
 
   private void forgetOld(long nowNanos) {
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/CallerServer.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/CallerServer.java
@@ -41,7 +41,7 @@
   private static final int BACKLOG = 1024;
   private static final Duration SWEEP_INTERVAL = Duration.ofMillis(500);
   private static final Duration LAST_CLOSE = Duration.ofMillis(100);
-  private static final double NANOS_PER_SECOND = 1e9;
+  private static final double MILLIS_PER_SECOND = 1e3;
   private static final int OK = 200;
   private static final int SERVICE_UNAVAILABLE = 503;
   private static final int BAD_GATEWAY = 502;
@@ -213,7 +213,7 @@
               delay ->
                   response.putHeader(
                       HttpHeaders.RETRY_AFTER,
-                      String.format("%.3f", delay.toNanos() / NANOS_PER_SECOND)));
+                      Double.toString(delay.toMillis() / MILLIS_PER_SECOND)));
       response.putHeader(HttpHeaders.CONTENT_TYPE, "text/plain");
       end(statusOf(error), Buffer.buffer(error.kind().wireName() + ": " + error.detail() + "\n"));
     }
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardMetrics.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardMetrics.java
@@ -3,42 +3,65 @@
 import io.arrowarch.core.error.QueryError;
 import io.arrowarch.core.forward.ForwardedAnswer;
 import io.arrowarch.core.forward.ForwardedRequest;
-import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.vavr.control.Either;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.ToDoubleFunction;
 
 /** Metrics of a process that passes requests on. Names and units stand in docs/OPERATIONS.md. */
 public final class ForwardMetrics {
-  private final PrometheusMeterRegistry registry =
-      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+  private static final int EARLY_VALUES = 2_000;
+
   private final Map<String, Timer> timers = new HashMap<>();
-  private final Map<String, Counter> counters = new HashMap<>();
+  private final List<Consumer<PrometheusMeterRegistry>> early = new ArrayList<>();
+  private Optional<PrometheusMeterRegistry> registry = Optional.empty();
+
+  /** Makes the registry, for which a start does not wait, and takes what came before. */
+  void open() {
+    if (registry.isEmpty()) {
+      PrometheusMeterRegistry made = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+      registry = Optional.of(made);
+      early.forEach(value -> value.accept(made));
+      early.clear();
+    }
+  }
 
   /** Takes the outcome of a request. */
   void onOutcome(
       ForwardedRequest request, Either<QueryError, ForwardedAnswer> outcome, long nanos) {
-    timers.computeIfAbsent(nameOf(outcome), this::createTimer).record(nanos, TimeUnit.NANOSECONDS);
-  }
-
-  /** Counts an event. */
-  void count(String name) {
-    counters.computeIfAbsent(name, key -> Counter.builder(key).register(registry)).increment();
+    String name = nameOf(outcome);
+    take(
+        meters ->
+            timers
+                .computeIfAbsent(name, key -> createTimer(meters, key))
+                .record(nanos, TimeUnit.NANOSECONDS));
   }
 
   <T> void gauge(String name, T source, ToDoubleFunction<T> value) {
-    Gauge.builder(name, source, value).register(registry);
+    take(meters -> Gauge.builder(name, source, value).register(meters));
   }
 
   /** All metrics in Prometheus text form. */
   String scrape() {
-    return registry.scrape();
+    open();
+    return registry.orElseThrow().scrape();
+  }
+
+  private void take(Consumer<PrometheusMeterRegistry> value) {
+    if (registry.isPresent()) {
+      value.accept(registry.get());
+    } else if (early.size() < EARLY_VALUES) {
+      early.add(value);
+    }
   }
 
   private static String nameOf(Either<QueryError, ForwardedAnswer> outcome) {
@@ -50,7 +73,7 @@
     return partial ? "partial" : "answered";
   }
 
-  private Timer createTimer(String outcome) {
+  private static Timer createTimer(PrometheusMeterRegistry registry, String outcome) {
     return Timer.builder("arrowarch.request.duration")
         .tag("outcome", outcome)
         .publishPercentiles(0.5, 0.9, 0.99)
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
@@ -37,6 +37,11 @@
 
   private static final Duration LATEST_SECOND_WORK = Duration.ofMillis(2_500);
 
+  /** Routers that have started together do this work one after the other. */
+  private static final Duration SECOND_WORK_SPREAD = Duration.ofSeconds(4);
+
+  private static final int EARLY_LINES_AT_ONCE = 3;
+
   /** Fewer searches than these leave much code that is not compiled. */
   private static final int SEARCHES_WHEN_WARM = 40;
 
@@ -61,6 +66,7 @@
   private final JsonEventLog events;
   private final ForwardMetrics metrics = new ForwardMetrics();
   private final TimerQueue timers = new TimerQueue();
+  private final RandomGenerator random = RandomGenerator.getDefault();
   private final long startNanos = System.nanoTime();
   private EventLoopDriver driver;
   private ForwardingRouter router;
@@ -70,6 +76,7 @@
   private SocketAddressSetting readinessAddress;
   private final Promise<Integer> warm = Promise.promise();
   private boolean wasReady;
+  private boolean logOpens;
 
   /** Creates a node; deploying it starts it. */
   public ForwardingNode(
@@ -112,14 +119,7 @@
         new PeerEndpoint(vertx, message -> driver.run(() -> peers.onMessage(message)));
     router =
         new ForwardingRouter(
-            settings.options(),
-            clock,
-            timers,
-            RandomGenerator.getDefault(),
-            servers,
-            store,
-            events,
-            () -> peers.count());
+            settings.options(), clock, timers, random, servers, store, events, () -> peers.count());
     callers = new CallerServer(vertx, driver, router, callerCodec, metrics);
     bindMetrics(connections, store, endpoint);
     vertx.setPeriodic(CONNECTION_SWEEP.toMillis(), id -> connections.closeRested());
@@ -183,6 +183,7 @@
     driver.run(
         () -> {
           logProcess("stopping", "SIGTERM");
+          openLog();
           router.onStopping();
           peers.leave();
           pollStop(drained, System.nanoTime());
@@ -211,22 +212,26 @@
 
   private void startDecisions() {
     logProcess("started", "");
-    afterStart(
-        FIRST_WORK_POLL,
-        LATEST_WARM_UP,
-        () -> router.follower().hasListed(),
-        () ->
-            new ForwardWarmUp(
-                    vertx,
-                    context,
-                    settings.options(),
-                    callerCodec,
-                    attemptCodec,
-                    feedCodec,
-                    warmUpCodec,
-                    () -> callers.connectionCount() > 0)
-                .run()
-                .onSuccess(this::onWarm));
+    afterStart(FIRST_WORK_POLL, LATEST_WARM_UP, () -> router.follower().hasListed(), this::warmUp);
+  }
+
+  /** Callers that are there already warm the process up themselves, and must not wait. */
+  private void warmUp() {
+    if (callers.connectionCount() > 0) {
+      onWarm(0);
+      return;
+    }
+    new ForwardWarmUp(
+            vertx,
+            context,
+            settings.options(),
+            callerCodec,
+            attemptCodec,
+            feedCodec,
+            warmUpCodec,
+            () -> callers.connectionCount() > 0)
+        .run()
+        .onSuccess(this::onWarm);
   }
 
   /** Runs a task once a condition holds, or some time after the start in any case. */
@@ -255,15 +260,39 @@
     }
     afterStart(
         FIRST_WORK_POLL,
-        LATEST_SECOND_WORK,
+        LATEST_SECOND_WORK.plusMillis(random.nextLong(SECOND_WORK_SPREAD.toMillis())),
         () -> compiled,
         () -> {
-          events.open();
           driver.run(peers::start);
+          openLog();
         });
     warm.complete(searches);
   }
 
+  private void openLog() {
+    if (logOpens) {
+      return;
+    }
+    logOpens = true;
+    vertx
+        .executeBlocking(
+            () -> {
+              events.prepare();
+              return events;
+            })
+        .onSuccess(
+            prepared -> {
+              metrics.open();
+              vertx.setPeriodic(
+                  FIRST_WORK_POLL.toMillis(),
+                  id -> {
+                    if (prepared.open(EARLY_LINES_AT_ONCE)) {
+                      vertx.cancelTimer(id);
+                    }
+                  });
+            });
+  }
+
   private RouterPeers createPeers(
       SocketAddressSetting bound, SystemClock clock, PeerEndpoint endpoint) {
     MemberRecord self =
@@ -279,7 +308,7 @@
         addresses(settings),
         clock,
         timers,
-        RandomGenerator.getDefault(),
+        random,
         endpoint,
         events,
         serverId -> router.directory().onDraining(serverId, System.nanoTime()));
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/JsonEventLog.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/JsonEventLog.java
@@ -36,8 +36,8 @@
   private boolean open;
   private final Map<Class<?>, Rate> rates = new HashMap<>();
 
-  /** Made when the log is opened: making it holds up a start. */
-  private ObjectWriter writer;
+  /** Made when the log is prepared: making it holds up a start. */
+  private volatile ObjectWriter writer;
 
   private static final class Rate {
     private long second = Long.MIN_VALUE;
@@ -48,23 +48,33 @@
   /**
    * Creates a log of one process.
    *
-   * @param configure configures the process's log; run by {@link #open}
+   * @param configure configures the process's log; run by {@link #prepare}
    */
   public JsonEventLog(String node, Runnable configure) {
     this.node = node;
     this.configure = configure;
   }
 
-  /** Opens the log and writes what came before. */
-  public void open() {
-    if (open) {
-      return;
-    }
-    open = true;
-    writer = JsonMapper.builder().build().writer();
+  /**
+   * Configures the log and makes what writes it. This takes a while and may run on any thread; only
+   * afterwards may {@link #open} be called.
+   */
+  public void prepare() {
     configure.run();
-    early.forEach(Runnable::run);
-    early.clear();
+    writer = JsonMapper.builder().build().writer();
+  }
+
+  /**
+   * Writes some of what came before the log was open, and opens it when all is written.
+   *
+   * @return whether the log is open
+   */
+  public boolean open(int lines) {
+    for (int line = 0; line < lines && !early.isEmpty(); line++) {
+      early.removeFirst().run();
+    }
+    open = early.isEmpty();
+    return open;
   }
 
   @Override
@@ -120,7 +130,8 @@
       RouterEvent detail) {}
 
   /** The same requests at all routers, so that the story of a sampled one is whole. */
-  private static boolean isSampled(String requestId) {
+  @Override
+  public boolean isSampled(String requestId) {
     if (requestId.isEmpty()) {
       return true;
     }
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ServerConnection.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ServerConnection.java
@@ -4,6 +4,7 @@
 import io.vertx.core.http.HttpClientConnection;
 import io.vertx.core.http.HttpClientResponse;
 import java.time.Duration;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -22,6 +23,11 @@
 
   private final HttpClientConnection connection;
   private long restUntilNanos;
+
+  /** A server says the same in each of its answers; it is read once. */
+  private String lastKeepAlive;
+
+  private Duration rest = DEFAULT_REST;
   private boolean open = true;
 
   ServerConnection(HttpClientConnection connection) {
@@ -53,7 +59,11 @@
 
   /** Notes an answer, from which the time of rest counts. */
   void onAnswer(HttpClientResponse response) {
-    Duration rest = keepAlive(response.getHeader(KEEP_ALIVE)).orElse(DEFAULT_REST);
+    String keepAlive = response.getHeader(KEEP_ALIVE);
+    if (!Objects.equals(keepAlive, lastKeepAlive)) {
+      lastKeepAlive = keepAlive;
+      rest = keepAlive(keepAlive).orElse(DEFAULT_REST);
+    }
     restUntilNanos = System.nanoTime() + (long) (REST_FRACTION * rest.toNanos());
     if ("close".equalsIgnoreCase(response.getHeader("Connection"))) {
       open = false;
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/TravellingHeaders.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/TravellingHeaders.java
@@ -35,17 +35,26 @@
    * @param set names, in lower case, of headers that the router sets itself
    */
   public static ImmutableList<HeaderField> of(MultiMap headers, Set<String> set) {
-    Set<String> dropped = new HashSet<>(OF_ONE_CONNECTION);
-    dropped.addAll(set);
-    for (String value : headers.getAll(CONNECTION)) {
-      Splitter.on(',').trimResults().split(value.toLowerCase(Locale.ROOT)).forEach(dropped::add);
-    }
+    Set<String> named = namedByConnection(headers);
     ImmutableList.Builder<HeaderField> travelling = ImmutableList.builder();
     for (Map.Entry<String, String> header : headers) {
-      if (!dropped.contains(header.getKey().toLowerCase(Locale.ROOT))) {
+      String name = header.getKey().toLowerCase(Locale.ROOT);
+      boolean stays = OF_ONE_CONNECTION.contains(name) || set.contains(name);
+      if (!stays && !named.contains(name)) {
         travelling.add(new HeaderField(header.getKey(), header.getValue()));
       }
     }
     return travelling.build();
   }
+
+  private static Set<String> namedByConnection(MultiMap headers) {
+    if (!headers.contains(CONNECTION)) {
+      return ImmutableSet.of();
+    }
+    Set<String> named = new HashSet<>();
+    for (String value : headers.getAll(CONNECTION)) {
+      Splitter.on(',').trimResults().split(value.toLowerCase(Locale.ROOT)).forEach(named::add);
+    }
+    return named;
+  }
 }
