Let the limit grow with searches in time; be ready after 0.5 s; a plain encoder for the log

Change: a search raises the limit only when it is in time, three at first; a router says that it is ready 0.5 s after the listing, and warms up on until the first caller.

--- a/arrowarch-cli/src/main/java/io/arrowarch/cli/Logging.java
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/Logging.java
@@ -38,9 +38,8 @@
   static void configureEvents() {
     LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
     context.reset();
-    PatternLayoutEncoder encoder = new PatternLayoutEncoder();
+    MessageEncoder encoder = new MessageEncoder();
     encoder.setContext(context);
-    encoder.setPattern("%msg%n");
     encoder.start();
     ConsoleAppender<ILoggingEvent> console = new ConsoleAppender<>();
     console.setContext(context);
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
@@ -265,7 +265,7 @@
 
   private void onSearchEnded(ForwardExecution search) {
     if (search.isStarted()) {
-      admission.onEnded();
+      admission.onEnded(search);
     } else {
       admission.forget(search);
     }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
@@ -88,6 +88,11 @@
     return started;
   }
 
+  /** Whether its answer could leave before the objective. */
+  boolean isInTime() {
+    return !late && partsIn >= minimumParts;
+  }
+
   Duration objective() {
     return route.objective();
   }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/SearchAdmission.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/SearchAdmission.java
@@ -54,8 +54,8 @@
   }
 
   /** Takes the end of a search that was started. */
-  void onEnded() {
-    slowStart.onEnded();
+  void onEnded(ForwardExecution search) {
+    slowStart.onEnded(search.isInTime());
     startWaiting();
   }
 
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/SlowStart.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/SlowStart.java
@@ -5,11 +5,12 @@
 /**
  * How many searches a process that has just started works on at a time. Its code is not compiled
  * yet, so that many searches at once would all be late; a few are in time and make the next ones
- * faster. The limit grows by one for each search that ends, and goes after a while in any case.
+ * faster. The limit grows by one for each search that is in time, and goes after a while in any
+ * case.
  */
 final class SlowStart {
   private static final Duration LONGEST = Duration.ofMillis(3_500);
-  private static final int FIRST_LIMIT = 2;
+  private static final int FIRST_LIMIT = 3;
 
   private final long endNanos;
   private boolean over;
@@ -43,8 +44,10 @@
     inProgress++;
   }
 
-  void onEnded() {
+  void onEnded(boolean inTime) {
     inProgress--;
-    limit++;
+    if (inTime) {
+      limit++;
+    }
   }
 }
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardWarmUp.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardWarmUp.java
@@ -52,6 +52,7 @@
   private static final int OK = 200;
   private static final int PART_BYTES = 1_024;
   private static final int RECORDS = 50;
+
   private static final Duration LONGEST = Duration.ofSeconds(2);
   private static final Duration TIME_LEFT = Duration.ofSeconds(2);
   private static final Duration LAST_CLOSE = Duration.ofMillis(50);
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
@@ -35,10 +35,13 @@
   /** A process that cannot read the store warms up meanwhile. */
   private static final Duration LATEST_WARM_UP = Duration.ofSeconds(1);
 
-  private static final Duration LATEST_SECOND_WORK = Duration.ofMillis(2_500);
+  /** From the beginning of the warm-up. */
+  private static final Duration LATEST_READY = Duration.ofMillis(500);
+
+  private static final Duration LATEST_SECOND_WORK = Duration.ofSeconds(3);
 
   /** Routers that have started together do this work one after the other. */
-  private static final Duration SECOND_WORK_SPREAD = Duration.ofSeconds(4);
+  private static final Duration SECOND_WORK_SPREAD = Duration.ofSeconds(5);
 
   private static final int EARLY_LINES_AT_ONCE = 3;
 
@@ -78,6 +81,9 @@
   private boolean wasReady;
   private boolean logOpens;
 
+  /** When the warm-up began, which is when the store was listed; 0 before. */
+  private long listedNanos;
+
   /** Creates a node; deploying it starts it. */
   public ForwardingNode(
       ForwardNodeSettings settings,
@@ -217,6 +223,7 @@
 
   /** Callers that are there already warm the process up themselves, and must not wait. */
   private void warmUp() {
+    listedNanos = System.nanoTime();
     if (callers.connectionCount() > 0) {
       onWarm(0);
       return;
@@ -330,7 +337,7 @@
   }
 
   private boolean isReady() {
-    boolean ready = warm.future().isComplete() && router.isReady();
+    boolean ready = (warm.future().isComplete() || isOverdue()) && router.isReady();
     if (ready && !wasReady) {
       logProcess("ready", "");
     }
@@ -338,6 +345,14 @@
     return ready;
   }
 
+  /**
+   * Callers may have no other router, and searches are limited while the process is still slow: a
+   * warm-up that takes longer goes on until the first caller comes.
+   */
+  private boolean isOverdue() {
+    return listedNanos > 0 && System.nanoTime() - listedNanos > LATEST_READY.toNanos();
+  }
+
   private Future<?> listenForMetrics() {
     if (settings.metrics().isEmpty()) {
       return Future.succeededFuture();
