Be ready at once after a start where no established router is known

Change: a router that knows a router which started 5 s or more before it warms up for up to 2 s, as before; one that knows none 0.2 s after the listing, or has callers, is ready. Peers are asked before the warm-up.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/RouterPeers.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/RouterPeers.java
@@ -24,6 +24,9 @@
   /** A router that has gone may have spent its share within a window of budgets before. */
   private static final Duration COUNT_MEMORY = Duration.ofSeconds(12);
 
+  /** Routers whose starts are no further apart have started together. */
+  private static final Duration ESTABLISHED_AGE = Duration.ofSeconds(5);
+
   /** Until the others are known there are taken to be many; contacts are a few of them. */
   private static final int ROUTERS_FOR_EACH_CONTACT = 3;
 
@@ -98,6 +101,17 @@
     return remembered;
   }
 
+  /**
+   * Whether another router is known that was started well before this one, so that callers are
+   * served while this one gets ready. Incarnations are times of start.
+   */
+  public boolean hasEstablished() {
+    long before = membership.self().incarnation() - ESTABLISHED_AGE.toMillis();
+    return membership.reachable().stream()
+        .anyMatch(
+            member -> member.state() == MemberRecord.State.ALIVE && member.incarnation() < before);
+  }
+
   /** Takes a message from another router. */
   public void onMessage(PeerMessage message) {
     MemberRecord sender = message.sender();
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/RouterPeersTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/RouterPeersTest.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** Several routers' views over a network in virtual time that may lose routers. */
@@ -25,6 +26,14 @@
   private final Set<String> dead = new HashSet<>();
   private final List<String> drains = new ArrayList<>();
 
+  @BeforeMethod
+  public void forgetOtherTests() {
+    routers.clear();
+    timers.clear();
+    dead.clear();
+    drains.clear();
+  }
+
   @Test
   public void unknownRoutersAreTakenToBeMany() {
     assertThat(create("r1", List.of("r2", "r3")).count()).isEqualTo(9);
@@ -58,9 +67,32 @@
     assertThat(drains).contains("r3 server-7", "r4 server-7");
   }
 
+  @Test
+  public void aRouterThatRestartsAloneKnowsThatOthersServe() {
+    create("r1", List.of("r2"), 1_000_000).start();
+    create("r2", List.of("r1"), 1_000_300).start();
+    run(Duration.ofSeconds(3));
+    assertThat(routers.get("r1").hasEstablished()).isFalse();
+    assertThat(routers.get("r2").hasEstablished()).isFalse();
+
+    create("r3", List.of("r1"), 1_020_000).start();
+    run(Duration.ofMillis(200));
+    assertThat(routers.get("r3").hasEstablished()).isTrue();
+    assertThat(routers.get("r1").hasEstablished()).isFalse();
+
+    create("r4", List.of("r1", "r2"), 1_040_000).start();
+    dead.addAll(List.of("r1", "r2", "r3"));
+    run(Duration.ofMillis(50));
+    assertThat(create("r5", List.of("r1"), 1_050_000).hasEstablished()).isFalse();
+  }
+
   private RouterPeers create(String id, List<String> contacts) {
+    return create(id, contacts, 1);
+  }
+
+  private RouterPeers create(String id, List<String> contacts, long incarnation) {
     TimerQueue queue = new TimerQueue();
-    MemberRecord self = new MemberRecord(id, "zone", id, 1, 0, MemberRecord.State.ALIVE);
+    MemberRecord self = new MemberRecord(id, "zone", id, incarnation, 0, MemberRecord.State.ALIVE);
     RouterPeers peers =
         new RouterPeers(
             self,
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
@@ -35,8 +35,8 @@
   /** A process that cannot read the store warms up meanwhile. */
   private static final Duration LATEST_WARM_UP = Duration.ofSeconds(1);
 
-  /** From the beginning of the warm-up. */
-  private static final Duration LATEST_READY = Duration.ofMillis(500);
+  /** Routers that were there before answer the first message within this. */
+  private static final Duration TIME_FOR_PEERS = Duration.ofMillis(200);
 
   private static final Duration LATEST_SECOND_WORK = Duration.ofSeconds(3);
 
@@ -80,6 +80,7 @@
   private final Promise<Integer> warm = Promise.promise();
   private boolean wasReady;
   private boolean logOpens;
+  private boolean peersStarted;
 
   /** When the warm-up began, which is when the store was listed; 0 before. */
   private long listedNanos;
@@ -228,6 +229,7 @@
       onWarm(0);
       return;
     }
+    startPeers();
     new ForwardWarmUp(
             vertx,
             context,
@@ -270,12 +272,19 @@
         LATEST_SECOND_WORK.plusMillis(random.nextLong(SECOND_WORK_SPREAD.toMillis())),
         () -> compiled,
         () -> {
-          driver.run(peers::start);
+          startPeers();
           openLog();
         });
     warm.complete(searches);
   }
 
+  private void startPeers() {
+    if (!peersStarted) {
+      peersStarted = true;
+      driver.run(peers::start);
+    }
+  }
+
   private void openLog() {
     if (logOpens) {
       return;
@@ -337,7 +346,7 @@
   }
 
   private boolean isReady() {
-    boolean ready = (warm.future().isComplete() || isOverdue()) && router.isReady();
+    boolean ready = router.isReady() && isWarmEnough();
     if (ready && !wasReady) {
       logProcess("ready", "");
     }
@@ -346,11 +355,17 @@
   }
 
   /**
-   * Callers may have no other router, and searches are limited while the process is still slow: a
-   * warm-up that takes longer goes on until the first caller comes.
+   * A warm-up goes on for as long as other routers serve the callers. Where none is known, or
+   * callers are here already, it would keep them waiting: searches are limited while the process is
+   * still slow.
    */
-  private boolean isOverdue() {
-    return listedNanos > 0 && System.nanoTime() - listedNanos > LATEST_READY.toNanos();
+  private boolean isWarmEnough() {
+    if (warm.future().isComplete() || callers.connectionCount() > 0) {
+      return true;
+    }
+    return listedNanos > 0
+        && System.nanoTime() - listedNanos > TIME_FOR_PEERS.toNanos()
+        && !peers.hasEstablished();
   }
 
   private Future<?> listenForMetrics() {
