--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
@@ -38,6 +38,8 @@
   /** Routers that were there before answer the first message within this. */
   private static final Duration TIME_FOR_PEERS = Duration.ofMillis(200);
 
+  private static final Duration LATEST_READY = Duration.ofSeconds(2);
+
   private static final Duration LATEST_SECOND_WORK = Duration.ofSeconds(3);
 
   /** Routers that have started together do this work one after the other. */
@@ -130,15 +132,16 @@
     callers = new CallerServer(vertx, driver, router, callerCodec, metrics);
     bindMetrics(connections, store, endpoint);
     vertx.setPeriodic(CONNECTION_SWEEP.toMillis(), id -> connections.closeRested());
-    return endpoint
-        .listen(settings.peers())
+    // Callers first: what comes before the store is listed is held, not turned away.
+    return callers
+        .listen(settings.callers())
+        .onSuccess(bound -> callerAddress = bound)
+        .compose(bound -> endpoint.listen(settings.peers()))
         .onSuccess(
             bound -> {
               peers = createPeers(bound, clock, endpoint);
               driver.run(router::start);
             })
-        .compose(bound -> callers.listen(settings.callers()))
-        .onSuccess(bound -> callerAddress = bound)
         .compose(bound -> listenForReadiness())
         .compose(bound -> listenForMetrics())
         .onSuccess(bound -> driver.run(this::startDecisions));
@@ -363,9 +366,9 @@
     if (warm.future().isComplete() || callers.connectionCount() > 0) {
       return true;
     }
-    return listedNanos > 0
-        && System.nanoTime() - listedNanos > TIME_FOR_PEERS.toNanos()
-        && !peers.hasEstablished();
+    long warmingNanos = listedNanos == 0 ? 0 : System.nanoTime() - listedNanos;
+    Duration longest = peers.hasEstablished() ? LATEST_READY : TIME_FOR_PEERS;
+    return warmingNanos > longest.toNanos();
   }
 
   private Future<?> listenForMetrics() {
