--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
@@ -59,7 +59,7 @@
   private final Map<String, RouteState> routeStates = new HashMap<>();
   private Optional<RoutingConfiguration> configuration = Optional.empty();
   private final Deque<HeldRequest> held = new ArrayDeque<>();
-  private boolean listed;
+  private boolean holds = true;
   private int inProgress;
 
   /**
@@ -105,10 +105,18 @@
 
   /** The configuration and the servers are known: requests need not be held any more. */
   public void onListed() {
-    listed = true;
+    holds = false;
     submitHeld();
   }
 
+  /** The store does not answer, so that nobody knows when it will be read: nothing is held. */
+  public void onStoreLost() {
+    holds = false;
+    while (!held.isEmpty()) {
+      refuseHeld(held.peekLast());
+    }
+  }
+
   /** The code of the process is compiled: searches are no longer limited as after a start. */
   public void onWarm() {
     admission.slowStart().end();
@@ -177,7 +185,7 @@
    * caller that was cut off by its end may not be able to ask once more.
    */
   private boolean mayHold() {
-    return !listed
+    return holds
         && held.size() < options.maximumRequests()
         && clock.nanoTime() < startNanos + LONGEST_HOLD.toNanos();
   }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardingRouter.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardingRouter.java
@@ -147,6 +147,7 @@
 
   @Override
   public void onLost(FeedFailure failure) {
+    coordinator.onStoreLost();
     logStore("lost", failure.name(), 0);
   }
 
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/SlowStartTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/SlowStartTest.java
@@ -191,6 +191,19 @@
     assertThat(fixture.error(0).executed()).isEqualTo(Executed.NO);
   }
 
+  @Test
+  public void whileTheStoreDoesNotAnswerNothingIsHeld() {
+    fixture.submit();
+    fixture.submit();
+    assertThat(fixture.outcomes).isEmpty();
+    fixture.coordinator.onStoreLost();
+    assertThat(fixture.outcomes).hasSize(2);
+    fixture.submit();
+
+    assertThat(fixture.error(2).kind()).isEqualTo(ErrorKind.NO_CONFIGURATION);
+    assertThat(fixture.error(2).executed()).isEqualTo(Executed.NO);
+  }
+
   @Test
   public void aProcessThatHasBeenUpForLongWithoutAConfigurationRefusesAtOnce() {
     fixture.advance(Duration.ofSeconds(2));
--- a/arrowarch-node/src/main/java/io/arrowarch/node/JsonFields.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/JsonFields.java
@@ -4,6 +4,7 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.StreamReadFeature;
 import com.fasterxml.jackson.core.TreeNode;
 import com.fasterxml.jackson.jr.stree.JacksonJrsTreeCodec;
@@ -40,11 +41,14 @@
   /** Reads a text that holds one object and nothing else. */
   public static JsonFields parse(byte[] text) throws IOException {
     try (JsonParser parser = FACTORY.createParser(text)) {
-      TreeNode tree = CODEC.readTree(parser);
-      if (!(tree instanceof JrsObject object) || parser.nextToken() != null) {
-        throw new IOException("the text is not one JSON object");
+      // The codec fails in ways of its own when there is nothing to read.
+      if (parser.nextToken() == JsonToken.START_OBJECT) {
+        TreeNode tree = CODEC.readTree(parser);
+        if (tree instanceof JrsObject object && parser.nextToken() == null) {
+          return new JsonFields(object);
+        }
       }
-      return new JsonFields(object);
+      throw new IOException("the text is not one JSON object");
     }
   }
 
