--- a/arrowarch-cli/src/main/java/io/arrowarch/cli/ForwardSettingsDocument.java
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/ForwardSettingsDocument.java
@@ -8,6 +8,7 @@
 import io.arrowarch.core.config.SchemaReader;
 import io.arrowarch.core.forward.ExtraAttemptRules;
 import io.arrowarch.core.forward.ForwardOptions;
+import io.arrowarch.core.forward.Mechanism;
 import io.arrowarch.core.time.Durations;
 import io.arrowarch.node.JsonFields;
 import io.arrowarch.node.SocketAddressSetting;
@@ -38,7 +39,8 @@
     Optional<List<String>> contacts,
     Optional<String> stopGrace,
     Optional<Integer> maximumRequests,
-    ExtraAttemptsDocument extraAttempts) {
+    ExtraAttemptsDocument extraAttempts,
+    Optional<List<String>> without) {
   private static final String SCHEMA = "forward-settings.schema.json";
   private static final String DEFAULT_STOP_GRACE = "6s";
   private static final int DEFAULT_MAXIMUM_REQUESTS = 1_000;
@@ -111,7 +113,8 @@
         new ExtraAttemptsDocument(
             extraAttempts.number("ratio"),
             extraAttempts.number("allowance"),
-            extraAttempts.text("window")));
+            extraAttempts.text("window")),
+        Optional.of(fields.texts("without")));
   }
 
   /** The settings with defaults filled in. */
@@ -131,6 +134,14 @@
             zone,
             maximumRequests.orElse(DEFAULT_MAXIMUM_REQUESTS),
             extraAttempts.toRules(),
-            DEFAULT_TIME_LEFT));
+            DEFAULT_TIME_LEFT,
+            without.orElse(ImmutableList.of()).stream()
+                .map(ForwardSettingsDocument::mechanism)
+                .collect(ImmutableSet.toImmutableSet())));
+  }
+
+  private static Mechanism mechanism(String name) {
+    return Mechanism.ofSettingName(name)
+        .orElseThrow(() -> new IllegalArgumentException("no mechanism is named " + name));
   }
 }
--- a/arrowarch-cli/src/test/java/io/arrowarch/cli/ForwardSettingsTest.java
+++ b/arrowarch-cli/src/test/java/io/arrowarch/cli/ForwardSettingsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.arrowarch.core.config.ConfigurationFault;
+import io.arrowarch.core.forward.Mechanism;
 import io.arrowarch.node.forward.ForwardNodeSettings;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -55,6 +56,28 @@
     assertThat(faults("{")).hasSize(1);
   }
 
+  @Test
+  public void mechanismsAreLeftOutByName() throws IOException {
+    String without = VALID.replace("\"id\"", "\"without\": [\"hedges\"], \"id\"");
+
+    assertThat(read(without).toNodeSettings().options().without())
+        .containsExactly(Mechanism.HEDGES);
+    assertThat(faults(without.replace("hedges", "hedge")))
+        .extracting(ConfigurationFault::path)
+        .containsExactly("$.without[0]");
+  }
+
+  @Test
+  public void everyMechanismHasItsNameInTheSchema() throws IOException {
+    for (Mechanism mechanism : Mechanism.values()) {
+      String without =
+          VALID.replace("\"id\"", "\"without\": [\"" + mechanism.settingName() + "\"], \"id\"");
+      assertThat(ForwardSettingsDocument.readWithSchema(without).isRight())
+          .as(mechanism.settingName())
+          .isTrue();
+    }
+  }
+
   private static ForwardSettingsDocument read(String text) throws IOException {
     return ForwardSettingsDocument.read(write(text).toFile()).get();
   }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/AttemptSender.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/AttemptSender.java
@@ -11,6 +11,7 @@
 import io.arrowarch.core.server.ServerState;
 import io.arrowarch.core.time.RouterClock;
 import io.arrowarch.core.time.TimerQueue;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -29,8 +30,11 @@
   /** A server answers at an attempt's deadline; one that does not within this has fallen silent. */
   private static final long SILENCE_SLACK_NANOS = 40_000_000;
 
+  private static final long NEVER_STALLED_NANOS = Duration.ofDays(1).toNanos();
+
   private final RouterClock clock;
   private final TimerQueue timers;
+  private final ForwardOptions options;
   private final ServerDirectory directory;
   private final ServerChooser chooser;
   private final AttemptBudgets budgets;
@@ -50,7 +54,7 @@
       RouterClock clock,
       TimerQueue timers,
       RandomGenerator random,
-      String zone,
+      ForwardOptions options,
       ServerDirectory directory,
       AttemptBudgets budgets,
       ServerTransport transport,
@@ -59,13 +63,18 @@
     this.clock = clock;
     this.timers = timers;
     this.directory = directory;
-    this.chooser = new ServerChooser(zone, random);
+    this.options = options;
+    this.chooser = new ServerChooser(options.zone(), random);
     this.budgets = budgets;
     this.transport = transport;
     this.events = events;
     this.connectionShare = connectionShare;
   }
 
+  ForwardOptions options() {
+    return options;
+  }
+
   AttemptBudgets budgets() {
     return budgets;
   }
@@ -75,7 +84,7 @@
   }
 
   /** The best server for a part that has not been tried and has a connection to spare. */
-  Optional<ServerState> choose(PartProgress part, long expectedNanos) {
+  Optional<ServerState> choose(PartProgress part, RequestPace pace) {
     int share = connectionShare.applyAsInt(part.service());
     List<ServerState> withRoom = new ArrayList<>();
     for (ServerState server : usable(part.service())) {
@@ -83,7 +92,7 @@
         withRoom.add(server);
       }
     }
-    return chooser.choose(withRoom, expectedNanos, clock.nanoTime());
+    return chooser.choose(withRoom, pace.expectedNanos(), pace.otherZoneNanos(), clock.nanoTime());
   }
 
   /** Whether a part's untried servers only lack connections. */
@@ -108,7 +117,7 @@
     logSent(execution, part, server, open, nowNanos);
     sent.put(number, new Sent(execution, part, open));
     part.onSent(open);
-    directory.onStarted(server.id(), number, nowNanos, execution.expectedNanos());
+    directory.onStarted(server.id(), number, nowNanos, stallBasis(execution));
     timers.schedule(attempt.deadlineNanos() + SILENCE_SLACK_NANOS, () -> onSilent(number, attempt));
     transport.send(attempt);
   }
@@ -120,9 +129,12 @@
     }
     long nowNanos = clock.nanoTime();
     String server = ended.open().attempt().server().id();
-    reply.load().ifPresent(load -> directory.onReport(server, load, nowNanos));
+    if (options.has(Mechanism.LOAD_REPORTS)) {
+      reply.load().ifPresent(load -> directory.onReport(server, load, nowNanos));
+    }
     AttemptVerdict verdict = verdictOf(reply);
-    double relative = reply.isGood() ? relativeLatency(ended, nowNanos) : 0;
+    boolean measured = reply.isGood() && options.has(Mechanism.SPEED_MEMORY);
+    double relative = measured ? relativeLatency(ended, nowNanos) : 0;
     directory.onEnded(server, number, verdict, relative, nowNanos);
     if (reply.isGood()) {
       ended.execution().recordLatency(nowNanos - ended.open().startNanos(), nowNanos);
@@ -171,7 +183,7 @@
     for (Waiter waiter : ImmutableList.copyOf(waiters.get(service))) {
       if (!waiter.part().isWaiting() || waiter.execution().isFinished()) {
         waiters.remove(service, waiter);
-      } else if (choose(waiter.part(), waiter.execution().expectedNanos()).isPresent()) {
+      } else if (choose(waiter.part(), waiter.execution().pace()).isPresent()) {
         waiters.remove(service, waiter);
         waiter.execution().startWaitingPart(waiter.part());
       } else {
@@ -182,7 +194,14 @@
 
   private static double relativeLatency(Sent ended, long nowNanos) {
     double took = nowNanos - ended.open().startNanos();
-    return took / Math.max(1, ended.execution().expectedNanos());
+    return took / Math.max(1, ended.execution().pace().expectedNanos());
+  }
+
+  /** The usual length by which a server is told to stand still. */
+  private long stallBasis(ForwardExecution execution) {
+    return options.has(Mechanism.STALL_DETECTION)
+        ? execution.pace().expectedNanos()
+        : NEVER_STALLED_NANOS;
   }
 
   private void logSent(
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
@@ -83,14 +83,14 @@
     this.events = events;
     this.routers = routers;
     this.startNanos = clock.nanoTime();
-    this.admission = new SearchAdmission(clock, timers, random);
+    this.admission = new SearchAdmission(clock, timers, random, options.has(Mechanism.SLOW_START));
     AttemptBudgets budgets = new AttemptBudgets(options.extraAttempts(), routers, startNanos);
     this.sender =
         new AttemptSender(
             clock,
             timers,
             random,
-            options.zone(),
+            options,
             directory,
             budgets,
             transport,
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
@@ -102,8 +102,12 @@
     return Duration.ofNanos(times.giveUpNanos() - times.arrivalNanos());
   }
 
-  long expectedNanos() {
-    return routeState.expectedNanos(route);
+  /** How long its attempts usually take, and what it gives for a server of its own zone. */
+  RequestPace pace() {
+    return RequestPace.of(
+        routeState.expectedNanos(route),
+        route.objective(),
+        sender.options().has(Mechanism.OWN_ZONE_FIRST));
   }
 
   /** When servers should stop: nothing of theirs is of use much later than the objective. */
@@ -131,7 +135,9 @@
       return;
     }
     ownTimers.add(timers.schedule(times.giveUpNanos(), this::onGiveUp));
-    ownTimers.add(timers.schedule(times.objectiveNanos(), this::onObjective));
+    if (sender.options().has(Mechanism.PARTIAL_ANSWERS)) {
+      ownTimers.add(timers.schedule(times.objectiveNanos(), this::onObjective));
+    }
     long nowNanos = clock.nanoTime();
     for (PartProgress part : parts) {
       sender.budgets().onRequest(part.service(), nowNanos);
@@ -206,7 +212,7 @@
   }
 
   private void startPart(PartProgress part) {
-    Optional<ServerState> server = sender.choose(part, expectedNanos());
+    Optional<ServerState> server = sender.choose(part, pace());
     if (server.isPresent()) {
       AttemptPurpose purpose = part.sent() == 0 ? AttemptPurpose.FIRST : AttemptPurpose.RETRY;
       sender.send(this, part, server.get(), purpose);
@@ -251,7 +257,7 @@
     if (part.sent() > route.maximumAttempts() + 1) {
       return "tried often enough";
     }
-    if (sender.choose(part, expectedNanos()).isEmpty()) {
+    if (sender.choose(part, pace()).isEmpty()) {
       return "no other server";
     }
     return sender.budgets().tryRetry(part.service(), clock.nanoTime()) ? "retry" : "no budget";
@@ -291,7 +297,8 @@
   }
 
   private void scheduleHedging() {
-    if (!route.repeatable() || route.maximumAttempts() < 2) {
+    boolean useless = !route.repeatable() || route.maximumAttempts() < 2;
+    if (useless || !sender.options().has(Mechanism.HEDGES)) {
       return;
     }
     long delay = routeState.hedgeDelayNanos(route);
@@ -331,7 +338,7 @@
     if (part.maybeRun() >= route.maximumAttempts()) {
       return part.denyHedge("no attempt left");
     }
-    Optional<ServerState> server = sender.choose(part, expectedNanos());
+    Optional<ServerState> server = sender.choose(part, pace());
     if (server.isEmpty()) {
       return part.denyHedge("no other server");
     }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardOptions.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardOptions.java
@@ -1,5 +1,6 @@
 package io.arrowarch.core.forward;
 
+import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 
 /**
@@ -9,6 +10,17 @@
  * @param maximumRequests requests in progress above which new ones are refused
  * @param extraAttempts bounds of hedges and retries over all routers
  * @param defaultTimeLeft how long a caller is taken to wait that does not say it
+ * @param without mechanisms that are left out, for experiments only
  */
 public record ForwardOptions(
-    String zone, int maximumRequests, ExtraAttemptRules extraAttempts, Duration defaultTimeLeft) {}
+    String zone,
+    int maximumRequests,
+    ExtraAttemptRules extraAttempts,
+    Duration defaultTimeLeft,
+    ImmutableSet<Mechanism> without) {
+
+  /** Whether a mechanism is in use. */
+  public boolean has(Mechanism mechanism) {
+    return !without.contains(mechanism);
+  }
+}
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/SearchAdmission.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/SearchAdmission.java
@@ -27,8 +27,16 @@
   private final TimerQueue timers;
   private final RandomGenerator random;
 
-  SearchAdmission(RouterClock clock, TimerQueue timers, RandomGenerator random) {
+  /**
+   * Creates an admission.
+   *
+   * @param limited whether there is a limit at first
+   */
+  SearchAdmission(RouterClock clock, TimerQueue timers, RandomGenerator random, boolean limited) {
     this.slowStart = new SlowStart(clock.nanoTime());
+    if (!limited) {
+      slowStart.end();
+    }
     this.clock = clock;
     this.timers = timers;
     this.random = random;
--- a/arrowarch-core/src/main/java/io/arrowarch/core/server/ServerChooser.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/server/ServerChooser.java
@@ -9,9 +9,6 @@
   /** Of two servers with free slots, the one with less work is a little better. */
   private static final double COST_OF_LOAD = 0.15;
 
-  /** What a way into another zone costs, in time. */
-  private static final double OTHER_ZONE_NANOS = 4_000_000;
-
   /** Spreads choices between equals. */
   private static final double RANDOM_PART = 0.1;
 
@@ -28,13 +25,15 @@
    * The best of some servers.
    *
    * @param expectedNanos the usual length of an attempt of this kind
+   * @param otherZoneNanos by how much a server of another zone must be faster to be chosen
    */
   public Optional<ServerState> choose(
-      List<ServerState> servers, long expectedNanos, long nowNanos) {
+      List<ServerState> servers, long expectedNanos, long otherZoneNanos, long nowNanos) {
     ServerState best = null;
     double least = Double.MAX_VALUE;
     for (ServerState server : servers) {
-      double cost = cost(server, expectedNanos, nowNanos);
+      boolean ownZone = server.entry().zone().equals(zone);
+      double cost = cost(server, expectedNanos, nowNanos) + (ownZone ? 0 : otherZoneNanos);
       if (cost < least) {
         least = cost;
         best = server;
@@ -49,11 +48,10 @@
     double load = server.load(nowNanos);
     int slots = Math.max(1, server.entry().slots());
     double waiting = Math.max(0, load + 1 - slots) / slots;
-    double zoneCost = server.entry().zone().equals(zone) ? 0 : OTHER_ZONE_NANOS;
     // A server that has stood still for some time is likely to do so for as long again.
     long stalled = server.stalledNanos(nowNanos);
     double stallCost = stalled == 0 ? 0 : 2.0 * expectedNanos + stalled;
     double even = expectedNanos * (COST_OF_LOAD * load + RANDOM_PART * random.nextDouble());
-    return work * (1 + waiting) + zoneCost + stallCost + even;
+    return work * (1 + waiting) + stallCost + even;
   }
 }
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/ForwardFixture.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/ForwardFixture.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import io.arrowarch.core.FakeClock;
 import io.arrowarch.core.error.QueryError;
 import io.arrowarch.core.event.EventLog;
@@ -56,7 +57,8 @@
                 "zone-a",
                 100,
                 new ExtraAttemptRules(0.2, 56, Duration.ofSeconds(10)),
-                Duration.ofSeconds(5)),
+                Duration.ofSeconds(5),
+                ImmutableSet.of()),
             clock,
             timers,
             new Random(1),
