--- a/arrowarch-cli/src/main/java/io/arrowarch/cli/ForwardSettingsDocument.java
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/ForwardSettingsDocument.java
@@ -131,6 +131,7 @@
             .collect(ImmutableList.toImmutableList()),
         Durations.parse(stopGrace.orElse(DEFAULT_STOP_GRACE)),
         new ForwardOptions(
+            id,
             zone,
             maximumRequests.orElse(DEFAULT_MAXIMUM_REQUESTS),
             extraAttempts.toRules(),
--- a/arrowarch-core/src/main/java/io/arrowarch/core/event/RouterEvent.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/event/RouterEvent.java
@@ -135,6 +135,34 @@
     }
   }
 
+  /**
+   * Parts of a search were handed to a router nearer to their servers, and have ended there.
+   *
+   * @param delegate the other router, whose own line tells what it did
+   * @param outcome answered, declined (they are run here), failed, lost, cancelled
+   */
+  record PartsDelegated(
+      String requestId,
+      String route,
+      String delegate,
+      String outcome,
+      String reason,
+      int parts,
+      int missing,
+      double tookMs)
+      implements RouterEvent {
+    @Override
+    public String eventName() {
+      return "delegated";
+    }
+
+    @Override
+    @JsonIgnore
+    public boolean isImportant() {
+      return !outcome.equals("answered");
+    }
+  }
+
   /** A server's state changed in the router's view. */
   record ServerChanged(String server, String service, String address, String status, long revision)
       implements RouterEvent {
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
@@ -2,70 +2,51 @@
 
 import com.google.common.collect.ImmutableList;
 import io.arrowarch.core.error.ErrorKind;
+import io.arrowarch.core.error.Executed;
 import io.arrowarch.core.error.QueryError;
 import io.arrowarch.core.event.EventLog;
 import io.arrowarch.core.event.RouterEvent;
 import io.arrowarch.core.route.Route;
 import io.arrowarch.core.route.RouteTarget;
 import io.arrowarch.core.route.RoutingConfiguration;
-import io.arrowarch.core.route.ServiceSettings;
 import io.arrowarch.core.server.ServerDirectory;
 import io.arrowarch.core.time.RouterClock;
 import io.arrowarch.core.time.TimerQueue;
 import io.vavr.control.Either;
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
-import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 
 /** Takes callers' requests and passes them on by the configuration in force at their arrival. */
 public final class ForwardCoordinator {
   private static final Duration BASE_RETRY_AFTER = Duration.ofMillis(150);
 
-  /**
-   * The part of a server's connections that routers use. The rest is for those that are being
-   * opened or closed, and for what servers still hold of routers that have lost power.
-   */
-  private static final double USED_FRACTION = 2.0 / 3;
-
-  /** A process that has just started takes half: servers may hold connections of its last life. */
-  private static final Duration CAREFUL_START = Duration.ofSeconds(8);
-
-  private static final int CAREFUL_DIVISOR = 2;
-
-  /** How long after the start requests are held that come before the store is read. */
-  private static final Duration LONGEST_HOLD = Duration.ofMillis(1_500);
-
-  private static final double HOLD_FRACTION = 0.3;
-
-  private static final int DEFAULT_CONNECTIONS = 16;
-  private static final int MAXIMUM_OPEN = 8;
+  /** How long servers may hold connections of a process's last life, and the code is slow. */
+  private static final Duration YOUNG = Duration.ofSeconds(8);
 
   private final ForwardOptions options;
   private final RouterClock clock;
   private final TimerQueue timers;
   private final RandomGenerator random;
   private final EventLog events;
-  private final IntSupplier routers;
+  private final HeldRequests held;
+  private final ConnectionShares shares;
   private final AttemptSender sender;
   private final SearchAdmission admission;
+  private final PartDelegator delegator;
   private final long startNanos;
   private final Map<String, RouteState> routeStates = new HashMap<>();
   private Optional<RoutingConfiguration> configuration = Optional.empty();
-  private final Deque<HeldRequest> held = new ArrayDeque<>();
-  private boolean holds = true;
   private int inProgress;
 
   /**
    * Creates a coordinator without a configuration.
    *
-   * @param routers how many routers share servers and budgets, this one included
+   * @param group the other routers
    */
   public ForwardCoordinator(
       ForwardOptions options,
@@ -75,46 +56,44 @@
       ServerDirectory directory,
       ServerTransport transport,
       EventLog events,
-      IntSupplier routers) {
+      RouterGroup group) {
     this.options = options;
     this.clock = clock;
     this.timers = timers;
     this.random = random;
     this.events = events;
-    this.routers = routers;
     this.startNanos = clock.nanoTime();
+    this.held = new HeldRequests(clock, timers, options.maximumRequests(), this::refuseHeld);
+    this.shares =
+        new ConnectionShares(group::count, this::isYoung, options.has(Mechanism.DELEGATION));
+    this.delegator =
+        new PartDelegator(
+            clock,
+            timers,
+            new DelegateChooser(options, group, shares::groups, directory, random),
+            group.transport(),
+            events);
     this.admission = new SearchAdmission(clock, timers, random, options.has(Mechanism.SLOW_START));
-    AttemptBudgets budgets = new AttemptBudgets(options.extraAttempts(), routers, startNanos);
+    AttemptBudgets budgets = new AttemptBudgets(options.extraAttempts(), group::count, startNanos);
     this.sender =
         new AttemptSender(
-            clock,
-            timers,
-            random,
-            options,
-            directory,
-            budgets,
-            transport,
-            events,
-            this::connectionShare);
+            clock, timers, random, options, directory, budgets, transport, events, shares::share);
   }
 
   /** Takes a configuration; requests in progress keep theirs. */
   public void reconfigure(RoutingConfiguration updated) {
     configuration = Optional.of(updated);
+    shares.reconfigure(updated);
   }
 
   /** The configuration and the servers are known: requests need not be held any more. */
   public void onListed() {
-    holds = false;
-    submitHeld();
+    held.submitTo(this);
   }
 
   /** The store does not answer, so that nobody knows when it will be read: nothing is held. */
   public void onStoreLost() {
-    holds = false;
-    while (!held.isEmpty()) {
-      refuseHeld(held.peekLast());
-    }
+    held.refuseAll();
   }
 
   /** The code of the process is compiled: searches are no longer limited as after a start. */
@@ -138,22 +117,14 @@
     return inProgress;
   }
 
-  /**
-   * Attempts that this router may have open at one server of a service: its share of the server's
-   * connections, and no more than {@link #MAXIMUM_OPEN}, which more would only make wait there.
-   */
+  /** Attempts that this router may have open at one server of a service. */
   public int connectionShare(String service) {
-    int all =
-        configuration
-            .map(RoutingConfiguration::services)
-            .map(services -> services.get(service))
-            .map(ServiceSettings::maximumConnections)
-            .orElse(DEFAULT_CONNECTIONS);
-    double share = USED_FRACTION * all / Math.max(1, routers.getAsInt());
-    if (clock.nanoTime() - startNanos < CAREFUL_START.toNanos()) {
-      share /= CAREFUL_DIVISOR;
-    }
-    return Math.max(1, Math.min(MAXIMUM_OPEN, (int) share));
+    return shares.share(service);
+  }
+
+  /** This process, and perhaps all others with it, has just started. */
+  private boolean isYoung() {
+    return clock.nanoTime() - startNanos < YOUNG.toNanos();
   }
 
   /**
@@ -164,8 +135,9 @@
    */
   public ForwardHandle submit(
       ForwardedRequest request, Consumer<Either<QueryError, ForwardedAnswer>> sink) {
-    if (mayHold()) {
-      return hold(request, sink);
+    if (held.mayHold()) {
+      Duration timeLeft = request.timeLeft().orElse(options.defaultTimeLeft());
+      return held.hold(request, timeLeft, sink);
     }
     if (configuration.isEmpty()) {
       return refuse(request, ErrorKind.NO_CONFIGURATION, "no configuration is known yet", sink);
@@ -180,43 +152,10 @@
     return run(request, route.get(), sink);
   }
 
-  /**
-   * A process that has just started will know the configuration and the servers in a moment, and a
-   * caller that was cut off by its end may not be able to ask once more.
-   */
-  private boolean mayHold() {
-    return holds
-        && held.size() < options.maximumRequests()
-        && clock.nanoTime() < startNanos + LONGEST_HOLD.toNanos();
-  }
-
-  private ForwardHandle hold(
-      ForwardedRequest request, Consumer<Either<QueryError, ForwardedAnswer>> sink) {
-    long nowNanos = clock.nanoTime();
-    Duration timeLeft = request.timeLeft().orElse(options.defaultTimeLeft());
-    long longestNanos = nowNanos + (long) (HOLD_FRACTION * timeLeft.toNanos());
-    long untilNanos = Math.min(startNanos + LONGEST_HOLD.toNanos(), longestNanos);
-    HeldRequest waiting = new HeldRequest(request, nowNanos, sink);
-    held.addLast(waiting);
-    timers.schedule(untilNanos, () -> refuseHeld(waiting));
-    return () -> {
-      held.remove(waiting);
-      waiting.cancel();
-    };
-  }
-
   private void refuseHeld(HeldRequest waiting) {
-    if (held.remove(waiting)) {
-      waiting.refuse(
-          (request, sink) ->
-              refuse(request, ErrorKind.NO_CONFIGURATION, "the store is not read yet", sink));
-    }
-  }
-
-  private void submitHeld() {
-    while (!held.isEmpty()) {
-      held.removeLast().submitTo(this, clock.nanoTime());
-    }
+    waiting.refuse(
+        (request, sink) ->
+            refuse(request, ErrorKind.NO_CONFIGURATION, "the store is not read yet", sink));
   }
 
   /** Takes a server's whole answer to an attempt. */
@@ -231,20 +170,38 @@
 
   private ForwardHandle run(
       ForwardedRequest request, Route route, Consumer<Either<QueryError, ForwardedAnswer>> sink) {
-    RouteState state =
-        routeStates.computeIfAbsent(
-            route.host() + route.pathPrefix(), key -> new RouteState(random));
+    RouteState state = stateOf(route);
     Duration timeLeft = request.timeLeft().orElse(options.defaultTimeLeft());
-    boolean search = route.target() instanceof RouteTarget.AllShards;
     RequestTimes times =
         RequestTimes.of(
             route,
             clock.nanoTime(),
             timeLeft,
             request.timeLeft().map(state::spentBefore).orElse(Duration.ZERO),
-            search,
-            !admission.slowStart().isOver(clock.nanoTime()),
+            route.target() instanceof RouteTarget.AllShards,
+            isStarting(),
             random.nextDouble());
+    boolean firstTry = request.timeLeft().map(state::isFirstTry).orElse(false);
+    return run(request, route, times, delegator, firstTry, sink);
+  }
+
+  private boolean isStarting() {
+    return !admission.slowStart().isOver(clock.nanoTime());
+  }
+
+  private RouteState stateOf(Route route) {
+    return routeStates.computeIfAbsent(
+        route.host() + route.pathPrefix(), key -> new RouteState(random));
+  }
+
+  private ForwardHandle run(
+      ForwardedRequest request,
+      Route route,
+      RequestTimes times,
+      Delegator mayHandOn,
+      boolean firstTry,
+      Consumer<Either<QueryError, ForwardedAnswer>> sink) {
+    RouteState state = stateOf(route);
     inProgress++;
     ForwardExecution execution =
         new ForwardExecution(
@@ -255,6 +212,7 @@
             times,
             partsOf(route, state),
             sender,
+            mayHandOn,
             clock,
             timers,
             events,
@@ -262,15 +220,74 @@
               inProgress--;
               sink.accept(outcome);
             });
-    if (search) {
+    if (route.target() instanceof RouteTarget.AllShards) {
       execution.onEnd(() -> onSearchEnded(execution));
-      admission.admit(execution, request.timeLeft().map(state::isFirstTry).orElse(false));
+      admission.admit(execution, firstTry);
     } else {
       execution.start();
     }
     return () -> cancel(execution);
   }
 
+  /**
+   * Runs parts of a search for another router, or declines them. They are not handed on again.
+   *
+   * @param sink told once, unless the search is cancelled; perhaps before this method returns
+   */
+  public ForwardHandle submitDelegated(DelegatedSearch search, Consumer<DelegateReply> sink) {
+    Optional<Route> route =
+        configuration.flatMap(
+            known -> known.match(search.request().host(), search.request().target()));
+    Optional<String> refusal = reasonToDecline(search, route);
+    if (refusal.isPresent()) {
+      sink.accept(new DelegateReply.Declined(refusal.get()));
+      return () -> {};
+    }
+    long arrivalNanos = clock.nanoTime();
+    return run(
+        search.request(),
+        search.narrow(route.get()),
+        RequestTimes.ofDelegated(route.get(), arrivalNanos, search, random.nextDouble()),
+        Delegator.NONE,
+        false,
+        outcome -> sink.accept(toReply(outcome, arrivalNanos)));
+  }
+
+  private Optional<String> reasonToDecline(DelegatedSearch search, Optional<Route> route) {
+    if (configuration.isEmpty() || configuration.get().version() != search.version()) {
+      return Optional.of("another version of the configuration is in force");
+    }
+    if (route.isEmpty() || !search.isOf(route.get())) {
+      return Optional.of("no search has this host, path and shards");
+    }
+    return inProgress < options.maximumRequests()
+        ? Optional.empty()
+        : Optional.of("too many requests are in progress");
+  }
+
+  private DelegateReply toReply(Either<QueryError, ForwardedAnswer> outcome, long arrivalNanos) {
+    if (outcome.isLeft()) {
+      QueryError error = outcome.getLeft();
+      return error.executed() == Executed.NO
+          ? new DelegateReply.Declined(error.detail())
+          : new DelegateReply.Failed(error);
+    }
+    // Only searches are handed on, and their answers are merged.
+    ForwardedAnswer.Merged answer = (ForwardedAnswer.Merged) outcome.get();
+    Duration took = Duration.ofNanos(clock.nanoTime() - arrivalNanos);
+    return new DelegateReply.Answered(answer, took, inProgress);
+  }
+
+  /** Takes another router's reply about parts that were handed to it. */
+  public void onDelegateReply(long number, DelegateReply reply) {
+    delegator.onReply(number, reply);
+  }
+
+  /** Takes the end of parts that were handed to another router, without a reply. */
+  public void onDelegateFailure(long number, DelegateFailure failure) {
+    delegator.onFailure(number, failure);
+  }
+
   private void onSearchEnded(ForwardExecution search) {
     if (search.isStarted()) {
       admission.onEnded(search);
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
@@ -31,10 +31,13 @@
   private final ImmutableList<PartProgress> parts;
   private final int minimumParts;
   private final AttemptSender sender;
+  private final Delegator delegator;
   private final RouterClock clock;
   private final TimerQueue timers;
   private final EventLog events;
   private final Consumer<Either<QueryError, ForwardedAnswer>> sink;
+  private final Hedging hedging;
+  private final HandedParts handedParts;
   private final List<TimerQueue.Timer> ownTimers = new ArrayList<>();
   private Runnable onEnd = () -> {};
   private boolean started;
@@ -51,6 +54,7 @@
       RequestTimes times,
       ImmutableList<PartProgress> parts,
       AttemptSender sender,
+      Delegator delegator,
       RouterClock clock,
       TimerQueue timers,
       EventLog events,
@@ -64,10 +68,14 @@
     this.minimumParts =
         route.target() instanceof RouteTarget.AllShards shards ? shards.minimumParts() : 1;
     this.sender = sender;
+    this.delegator = delegator;
     this.clock = clock;
     this.timers = timers;
     this.events = events;
     this.sink = sink;
+    this.handedParts = new HandedParts(this, parts);
+    this.hedging =
+        new Hedging(this, route, routeState, times.objectiveNanos(), parts, sender, clock, timers);
   }
 
   /** Sets what runs once, after the final answer or the cancellation. */
@@ -138,15 +146,31 @@
     if (sender.options().has(Mechanism.PARTIAL_ANSWERS)) {
       ownTimers.add(timers.schedule(times.objectiveNanos(), this::onObjective));
     }
+    if (route.target() instanceof RouteTarget.AllShards search) {
+      handedParts.handOn(
+          delegator, new Delegator.Search(request, route, version, times, search.services()));
+    }
+    startFirst(parts.stream().filter(part -> !part.isHandedOn()).toList());
+  }
+
+  /** Sends the first attempts of parts that this router runs itself. */
+  void startFirst(List<PartProgress> first) {
     long nowNanos = clock.nanoTime();
-    for (PartProgress part : parts) {
+    for (PartProgress part : first) {
       sender.budgets().onRequest(part.service(), nowNanos);
       startPart(part);
       if (finished) {
         return;
       }
     }
-    scheduleHedging();
+    hedging.start();
+  }
+
+  /** Takes the end of parts that other routers ran. */
+  void onPartsEnded(int in, int lost) {
+    partsIn += in;
+    partsLost += lost;
+    finishIfPossible("all parts that can come are in");
   }
 
   private int reachableParts() {
@@ -172,6 +196,7 @@
     }
     finish("cancelled", "", "the caller has gone");
     parts.forEach(sender::cancelAll);
+    handedParts.cancel();
     onEnd.run();
   }
 
@@ -296,65 +321,6 @@
     }
   }
 
-  private void scheduleHedging() {
-    boolean useless = !route.repeatable() || route.maximumAttempts() < 2;
-    if (useless || !sender.options().has(Mechanism.HEDGES)) {
-      return;
-    }
-    long delay = routeState.hedgeDelayNanos(route);
-    scheduleHedgeCheck(clock.nanoTime() + delay);
-  }
-
-  private void scheduleHedgeCheck(long dueNanos) {
-    if (dueNanos < times.objectiveNanos()) {
-      ownTimers.add(timers.schedule(dueNanos, this::checkHedges));
-    }
-  }
-
-  private void checkHedges() {
-    if (finished) {
-      return;
-    }
-    long nowNanos = clock.nanoTime();
-    long delay = routeState.hedgeDelayNanos(route);
-    long next = Long.MAX_VALUE;
-    for (PartProgress part : parts) {
-      if (part.isSettled() || part.open().size() != 1) {
-        continue;
-      }
-      long due = part.open().get(0).startNanos() + delay;
-      if (due <= nowNanos) {
-        boolean hedged = hedge(part, nowNanos);
-        due = hedged ? Long.MAX_VALUE : nowNanos + Math.max(delay / 4, 2_000_000);
-      }
-      next = Math.min(next, due);
-    }
-    if (next != Long.MAX_VALUE) {
-      scheduleHedgeCheck(next);
-    }
-  }
-
-  private boolean hedge(PartProgress part, long nowNanos) {
-    if (part.maybeRun() >= route.maximumAttempts()) {
-      return part.denyHedge("no attempt left");
-    }
-    Optional<ServerState> server = sender.choose(part, pace());
-    if (server.isEmpty()) {
-      return part.denyHedge("no other server");
-    }
-    if (server.get().stalledNanos(nowNanos) > 0) {
-      return part.denyHedge("the other server stands still");
-    }
-    if (!server.get().hasRoomForHedge(nowNanos)) {
-      return part.denyHedge("the other server is busy");
-    }
-    if (!sender.budgets().tryHedge(part.service(), nowNanos)) {
-      return part.denyHedge("no budget");
-    }
-    sender.send(this, part, server.get(), AttemptPurpose.HEDGE);
-    return true;
-  }
-
   private void finishWithAnswer(String reason) {
     ForwardedAnswer answer = isSearch() ? merge() : passOn();
     boolean partial = partsIn < parts.size();
@@ -368,13 +334,19 @@
 
   private ForwardedAnswer merge() {
     List<ServerReply> replies = parts.stream().flatMap(part -> part.answer().stream()).toList();
+    ImmutableList.Builder<String> signatures = ImmutableList.builder();
+    List<Payload> records = new ArrayList<>();
+    for (ServerReply reply : replies) {
+      signatures.add(reply.signature().orElseThrow());
+      records.add(reply.body());
+    }
+    for (ForwardedAnswer.Merged elsewhere : handedParts.answers()) {
+      signatures.addAll(elsewhere.signatures());
+      records.add(elsewhere.records());
+    }
     int limit = ((RouteTarget.AllShards) route.target()).limit();
     return new ForwardedAnswer.Merged(
-        replies.stream()
-            .map(reply -> reply.signature().orElseThrow())
-            .collect(ImmutableList.toImmutableList()),
-        parts.size() - replies.size(),
-        RecordMerger.merge(replies.stream().map(ServerReply::body).toList(), limit));
+        signatures.build(), parts.size() - partsIn, RecordMerger.merge(records, limit));
   }
 
   private void finishHopeless() {
@@ -406,6 +378,7 @@
     finished = true;
     ownTimers.forEach(TimerQueue.Timer::cancel);
     ownTimers.clear();
+    hedging.stop();
     long nowNanos = clock.nanoTime();
     int sent = parts.stream().mapToInt(PartProgress::sent).sum();
     events.log(
@@ -431,7 +404,7 @@
 
   private ImmutableList<RouterEvent.MissingPart> missingParts(long nowNanos) {
     return parts.stream()
-        .filter(part -> part.answer().isEmpty())
+        .filter(part -> !part.isAnswered())
         .map(part -> part.describeMissing(nowNanos))
         .collect(ImmutableList.toImmutableList());
   }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardOptions.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardOptions.java
@@ -6,6 +6,7 @@
 /**
  * What the owner of a coordinator sets.
  *
+ * @param id of the router
  * @param zone where the router runs
  * @param maximumRequests requests in progress above which new ones are refused
  * @param extraAttempts bounds of hedges and retries over all routers
@@ -13,6 +14,7 @@
  * @param without mechanisms that are left out, for experiments only
  */
 public record ForwardOptions(
+    String id,
     String zone,
     int maximumRequests,
     ExtraAttemptRules extraAttempts,
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardingRouter.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardingRouter.java
@@ -20,7 +20,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
-import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 
 /**
@@ -44,7 +43,7 @@
   /**
    * Creates a router that knows nothing yet.
    *
-   * @param routers how many routers share servers and budgets, this one included
+   * @param group the other routers
    */
   public ForwardingRouter(
       ForwardOptions options,
@@ -54,13 +53,13 @@
       ServerTransport servers,
       FeedTransport feed,
       EventLog events,
-      IntSupplier routers) {
+      RouterGroup group) {
     this.clock = clock;
     this.timers = timers;
     this.events = events;
     this.follower = new StoreFollower(feed, this, clock, timers, random);
     this.coordinator =
-        new ForwardCoordinator(options, clock, timers, random, directory, servers, events, routers);
+        new ForwardCoordinator(options, clock, timers, random, directory, servers, events, group);
   }
 
   /** Starts to read the store. */
@@ -74,6 +73,15 @@
     return coordinator.submit(request, sink);
   }
 
+  /** Runs a search for another router; a router that stops declines it. */
+  public ForwardHandle submitDelegated(DelegatedSearch search, Consumer<DelegateReply> sink) {
+    if (stopping) {
+      sink.accept(new DelegateReply.Declined("the router is stopping"));
+      return () -> {};
+    }
+    return coordinator.submitDelegated(search, sink);
+  }
+
   /** The part that attempts report to. */
   public ForwardCoordinator coordinator() {
     return coordinator;
--- /dev/null
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/PartDelegator.java
@@ -0,0 +1,180 @@
+package io.arrowarch.core.forward;
+
+import com.google.common.collect.ImmutableList;
+import io.arrowarch.core.event.EventLog;
+import io.arrowarch.core.event.RouterEvent;
+import io.arrowarch.core.time.RouterClock;
+import io.arrowarch.core.time.TimerQueue;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Hands parts of searches to routers nearer to their servers and follows each group to its end. A
+ * group that the delegate has provably not run may be run here; one that it may have run and lost
+ * may not, since its second runs would not be within the bounds of extra attempts.
+ */
+final class PartDelegator implements Delegator {
+  private static final double NANOS_PER_MILLI = 1e6;
+
+  /** A delegate answers by the attempts' deadline; one that does not within this is silent. */
+  private static final Duration SILENCE_SLACK = Duration.ofMillis(60);
+
+  /** The way is taken to cost this part of the objective at least. */
+  private static final double LEAST_WAY = 0.03;
+
+  private final RouterClock clock;
+  private final TimerQueue timers;
+  private final DelegateChooser chooser;
+  private final DelegateTransport transport;
+  private final EventLog events;
+  private final Map<Long, Group> groups = new HashMap<>();
+  private long nextNumber = 1;
+
+  PartDelegator(
+      RouterClock clock,
+      TimerQueue timers,
+      DelegateChooser chooser,
+      DelegateTransport transport,
+      EventLog events) {
+    this.clock = clock;
+    this.timers = timers;
+    this.chooser = chooser;
+    this.transport = transport;
+    this.events = events;
+  }
+
+  @Override
+  public ImmutableList<Handed> handOn(Search search, Listener listener) {
+    ImmutableList<DelegateChooser.Choice> choices =
+        chooser.choose(search.shards(), search.route().objective(), clock.nanoTime());
+    return choices.stream()
+        .map(choice -> send(search, choice, listener))
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  private Handed send(Search search, DelegateChooser.Choice choice, Listener listener) {
+    long nowNanos = clock.nanoTime();
+    long number = nextNumber++;
+    DelegateState state = chooser.state(choice.delegate());
+    RequestTimes times = search.times();
+    long silentNanos =
+        Math.min(times.giveUpNanos(), times.attemptDeadlineNanos() + SILENCE_SLACK.toNanos());
+    TimerQueue.Timer silence =
+        timers.schedule(silentNanos, () -> onFailure(number, DelegateFailure.SILENT));
+    Group group = new Group(number, search, choice, state, listener, silence);
+    groups.put(number, group);
+    state.onSent(number, nowNanos);
+    // The answer must be back before it is due here.
+    long least = (long) (LEAST_WAY * search.route().objective().toNanos());
+    long way = Math.max(least, (long) state.wayNanos(nowNanos));
+    transport.send(
+        number,
+        choice.delegate(),
+        new DelegatedSearch(
+            search.request(),
+            search.version(),
+            choice.shards(),
+            Duration.ofNanos(Math.max(1, times.giveUpNanos() - nowNanos - way)),
+            Duration.ofNanos(times.objectiveNanos() - nowNanos - way)));
+    return group;
+  }
+
+  /** Takes a delegate's reply. */
+  void onReply(long number, DelegateReply reply) {
+    Group group = groups.remove(number);
+    if (group == null) {
+      return;
+    }
+    group.end();
+    long nowNanos = clock.nanoTime();
+    if (reply instanceof DelegateReply.Answered answered) {
+      long way = Math.max(0, nowNanos - group.startNanos - answered.took().toNanos());
+      group.state.onAnswered(way, answered.inProgress(), nowNanos);
+      log(group, "answered", "", answered.answer().missingParts());
+      group.listener.onAnswered(group, answered.answer());
+    } else if (reply instanceof DelegateReply.Declined declined) {
+      group.state.suspend(nowNanos);
+      log(group, "declined", declined.reason(), group.shards().size());
+      group.listener.onDeclined(group);
+    } else if (reply instanceof DelegateReply.Failed failed) {
+      log(group, "failed", failed.error().kind().wireName(), group.shards().size());
+      group.listener.onLost(group);
+    }
+  }
+
+  /** Takes the end of a group without a reply. */
+  void onFailure(long number, DelegateFailure failure) {
+    Group group = groups.remove(number);
+    if (group == null) {
+      return;
+    }
+    group.end();
+    group.state.suspend(clock.nanoTime());
+    transport.cancel(number);
+    log(group, failure.maybeRun() ? "lost" : "declined", failure.logName(), group.shards().size());
+    if (failure.maybeRun()) {
+      group.listener.onLost(group);
+    } else {
+      group.listener.onDeclined(group);
+    }
+  }
+
+  private void log(Group group, String outcome, String reason, int missing) {
+    events.log(
+        new RouterEvent.PartsDelegated(
+            group.search.request().id(),
+            group.search.route().name(),
+            group.choice.delegate().id(),
+            outcome,
+            reason,
+            group.shards().size(),
+            missing,
+            (clock.nanoTime() - group.startNanos) / NANOS_PER_MILLI));
+  }
+
+  /** Parts at a delegate. */
+  private final class Group implements Handed {
+    private final long number;
+    private final Search search;
+    private final DelegateChooser.Choice choice;
+    private final DelegateState state;
+    private final Listener listener;
+    private final TimerQueue.Timer silence;
+    private final long startNanos = clock.nanoTime();
+
+    Group(
+        long number,
+        Search search,
+        DelegateChooser.Choice choice,
+        DelegateState state,
+        Listener listener,
+        TimerQueue.Timer silence) {
+      this.number = number;
+      this.search = search;
+      this.choice = choice;
+      this.state = state;
+      this.listener = listener;
+      this.silence = silence;
+    }
+
+    @Override
+    public ImmutableList<String> shards() {
+      return choice.shards();
+    }
+
+    @Override
+    public void cancel() {
+      if (groups.remove(number) != null) {
+        end();
+        transport.cancel(number);
+        log(this, "cancelled", "the caller has gone", shards().size());
+      }
+    }
+
+    void end() {
+      silence.cancel();
+      state.onEnded(number);
+    }
+  }
+}
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/PartProgress.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/PartProgress.java
@@ -19,6 +19,8 @@
   private Optional<ServerReply> failure = Optional.empty();
   private String hedgeDenied = "";
   private boolean lost;
+  private boolean handedOn;
+  private boolean answeredElsewhere;
   private boolean waiting;
   private int sent;
   private int maybeRun;
@@ -52,7 +54,17 @@
   }
 
   boolean isSettled() {
-    return lost || answer.isPresent();
+    return lost || isAnswered();
+  }
+
+  /** Whether its answer is in, or that of the router that it was handed to. */
+  boolean isAnswered() {
+    return answeredElsewhere || answer.isPresent();
+  }
+
+  /** Whether another router runs it. */
+  boolean isHandedOn() {
+    return handedOn;
   }
 
   boolean isLost() {
@@ -69,7 +81,21 @@
 
   /** Attempts that ran or may have run, open ones included. */
   int maybeRun() {
-    return maybeRun + open.size();
+    return maybeRun + open.size() + (handedOn ? 1 : 0);
+  }
+
+  void onHandedOn() {
+    handedOn = true;
+  }
+
+  /** The other router has not run it and never will. */
+  void onTakenBack() {
+    handedOn = false;
+  }
+
+  /** The other router has answered for it, with or without it. */
+  void onAnsweredElsewhere() {
+    answeredElsewhere = true;
   }
 
   void onWaiting() {
@@ -110,7 +136,7 @@
 
   /** For operators: why there is no answer yet. */
   RouterEvent.MissingPart describeMissing(long nowNanos) {
-    String state = lost ? "lost" : isWaiting() ? "waiting" : "open";
+    String state = lost ? "lost" : handedOn ? "delegated" : isWaiting() ? "waiting" : "open";
     ImmutableList<String> attempts =
         open.stream()
             .map(
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/RequestTimes.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/RequestTimes.java
@@ -64,8 +64,27 @@
       useful = Math.max(useful, (long) (SLOW_START_FRACTION * held.toNanos()));
     }
     long attemptDeadline = search ? Math.min(giveUpNanos, arrivalNanos + useful) : giveUpNanos;
-    double fraction = SHORTEST_RETRY_AFTER + (1 - SHORTEST_RETRY_AFTER) * random;
-    Duration retryAfter = Duration.ofMillis((long) (fraction * objective.toMillis()));
+    Duration retryAfter = retryAfter(objective, random);
     return new RequestTimes(arrivalNanos, objectiveNanos, giveUpNanos, attemptDeadline, retryAfter);
   }
+
+  /** The moments of a search that another router took from its caller. */
+  static RequestTimes ofDelegated(
+      Route route, long arrivalNanos, DelegatedSearch search, double random) {
+    long giveUpNanos = arrivalNanos + Math.max(1, search.timeLeft().toNanos());
+    long objectiveNanos = arrivalNanos + search.objectiveLeft().toNanos();
+    long useful = (OBJECTIVES_FOR_ATTEMPT - 1) * route.objective().toNanos();
+    long attemptDeadline = Math.min(giveUpNanos, Math.max(arrivalNanos, objectiveNanos) + useful);
+    return new RequestTimes(
+        arrivalNanos,
+        objectiveNanos,
+        giveUpNanos,
+        attemptDeadline,
+        retryAfter(route.objective(), random));
+  }
+
+  private static Duration retryAfter(Duration objective, double random) {
+    double fraction = SHORTEST_RETRY_AFTER + (1 - SHORTEST_RETRY_AFTER) * random;
+    return Duration.ofMillis((long) (fraction * objective.toMillis()));
+  }
 }
--- /dev/null
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/RouterGroup.java
@@ -0,0 +1,35 @@
+package io.arrowarch.core.forward;
+
+import com.google.common.collect.ImmutableList;
+
+/** The routers that share servers and budgets, as one of them sees them. */
+public interface RouterGroup {
+  /** How many there are, this one included; more rather than fewer when unknown. */
+  int count();
+
+  /** The others that answer. */
+  ImmutableList<NearbyRouter> nearby();
+
+  /** Hands searches to them. */
+  DelegateTransport transport();
+
+  /** A group without others that searches could be handed to. */
+  static RouterGroup ofCount(int count) {
+    return new RouterGroup() {
+      @Override
+      public int count() {
+        return count;
+      }
+
+      @Override
+      public ImmutableList<NearbyRouter> nearby() {
+        return ImmutableList.of();
+      }
+
+      @Override
+      public DelegateTransport transport() {
+        return DelegateTransport.NONE;
+      }
+    };
+  }
+}
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/RouterPeers.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/RouterPeers.java
@@ -1,5 +1,6 @@
 package io.arrowarch.core.forward;
 
+import com.google.common.collect.ImmutableList;
 import io.arrowarch.core.config.ConfigurationId;
 import io.arrowarch.core.event.EventLog;
 import io.arrowarch.core.event.RouterEvent;
@@ -106,10 +107,23 @@
    * served while this one gets ready. Incarnations are times of start.
    */
   public boolean hasEstablished() {
-    long before = membership.self().incarnation() - ESTABLISHED_AGE.toMillis();
     return membership.reachable().stream()
-        .anyMatch(
-            member -> member.state() == MemberRecord.State.ALIVE && member.incarnation() < before);
+        .anyMatch(member -> member.state() == MemberRecord.State.ALIVE && isEstablished(member));
+  }
+
+  /** The other routers that answer and are not stopping. */
+  public ImmutableList<NearbyRouter> nearby() {
+    return membership.reachable().stream()
+        .filter(member -> member.state() == MemberRecord.State.ALIVE)
+        .map(
+            member ->
+                new NearbyRouter(
+                    member.id(), member.incarnation(), member.zone(), member.address()))
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  private boolean isEstablished(MemberRecord member) {
+    return member.incarnation() < membership.self().incarnation() - ESTABLISHED_AGE.toMillis();
   }
 
   /** Takes a message from another router. */
--- /dev/null
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ZoneCoverage.java
@@ -0,0 +1,63 @@
+package io.arrowarch.core.forward;
+
+import com.google.common.collect.ImmutableList;
+import io.arrowarch.core.server.ServerDirectory;
+import io.arrowarch.core.server.ServerState;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** In which zones the shards of searches have usable servers, as counted a moment ago. */
+final class ZoneCoverage {
+  private static final Duration LIFE = Duration.ofMillis(200);
+
+  private final ServerDirectory directory;
+  private final Map<String, Set<String>> zonesByShard = new HashMap<>();
+  private long countedNanos = Long.MIN_VALUE;
+
+  ZoneCoverage(ServerDirectory directory) {
+    this.directory = directory;
+  }
+
+  /** Shards that have usable servers, but none in a zone. */
+  ImmutableList<String> without(String zone, List<String> shards, long nowNanos) {
+    ImmutableList.Builder<String> without = ImmutableList.builder();
+    for (String shard : shards) {
+      Set<String> zones = zonesOf(shard, nowNanos);
+      if (!zones.isEmpty() && !zones.contains(zone)) {
+        without.add(shard);
+      }
+    }
+    return without.build();
+  }
+
+  /** The part of the shards, from 0 to 1, that have a usable server in a zone. */
+  double share(String zone, List<String> shards, long nowNanos) {
+    int covered = 0;
+    for (String shard : shards) {
+      if (zonesOf(shard, nowNanos).contains(zone)) {
+        covered++;
+      }
+    }
+    return (double) covered / shards.size();
+  }
+
+  private Set<String> zonesOf(String shard, long nowNanos) {
+    if (nowNanos - countedNanos > LIFE.toNanos()) {
+      zonesByShard.clear();
+      countedNanos = nowNanos;
+    }
+    return zonesByShard.computeIfAbsent(shard, name -> count(name, nowNanos));
+  }
+
+  private Set<String> count(String shard, long nowNanos) {
+    Set<String> zones = new HashSet<>();
+    for (ServerState server : directory.usable(shard, nowNanos)) {
+      zones.add(server.entry().zone());
+    }
+    return zones;
+  }
+}
--- a/arrowarch-core/src/main/java/io/arrowarch/core/hedge/LatencyTracker.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/hedge/LatencyTracker.java
@@ -16,7 +16,7 @@
   private static final int MINIMUM_SAMPLES = 50;
 
   /** A quantile walks over the whole histogram; one that is some samples old serves as well. */
-  private static final int SAMPLES_UNTIL_STALE = 16;
+  private static final int SAMPLES_UNTIL_STALE = 64;
 
   private Histogram current = new Histogram(MAXIMUM_MICROS, SIGNIFICANT_DIGITS);
   private Histogram previous = new Histogram(MAXIMUM_MICROS, SIGNIFICANT_DIGITS);
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/ForwardFixture.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/ForwardFixture.java
@@ -28,7 +28,7 @@
   static final Duration TIMEOUT = Duration.ofSeconds(2);
   static final int CONNECTIONS = 40;
 
-  final FakeClock clock = new FakeClock();
+  final FakeClock clock;
   final TimerQueue timers = new TimerQueue();
   final ServerDirectory directory = new ServerDirectory();
   final List<ServerAttempt> sent = new ArrayList<>();
@@ -51,10 +51,18 @@
   }
 
   ForwardFixture(int routers, Duration age) {
+    this(new FakeClock(), "zone-a", RouterGroup.ofCount(routers));
+    advance(age);
+  }
+
+  /** One of several routers, which share a clock. */
+  ForwardFixture(FakeClock clock, String zone, RouterGroup group) {
+    this.clock = clock;
     coordinator =
         new ForwardCoordinator(
             new ForwardOptions(
-                "zone-a",
+                "router-a",
+                zone,
                 100,
                 new ExtraAttemptRules(0.2, 56, Duration.ofSeconds(10)),
                 Duration.ofSeconds(5),
@@ -65,35 +73,48 @@
             directory,
             this,
             EventLog.NONE,
-            () -> routers);
-    advance(age);
+            group);
   }
 
   /** Routes everything to these services: to one of them when there is one, else to all. */
   void route(boolean repeatable, String... services) {
+    route(1, repeatable, services);
+  }
+
+  void route(long version, boolean repeatable, String... services) {
     RouteTarget target =
         services.length == 1
             ? new RouteTarget.OneServer(
                 ImmutableList.of(new RouteTarget.WeightedService(services[0], 1)))
             : new RouteTarget.AllShards(ImmutableList.copyOf(services), 4, 0.5);
-    route(repeatable, target);
+    route(version, repeatable, target);
   }
 
   void route(boolean repeatable, RouteTarget target) {
+    route(1, repeatable, target);
+  }
+
+  private void route(long version, boolean repeatable, RouteTarget target) {
     Route route = new Route("route", "host", "/", repeatable, TIMEOUT, OBJECTIVE, 2, 0, target);
     ImmutableMap.Builder<String, ServiceSettings> settings = ImmutableMap.builder();
-    for (String service : List.of("s", "s1", "s2", "s3", "s4")) {
+    for (String service : List.of("s", "s1", "s2", "s3", "s4", "s5", "s6")) {
       settings.put(service, new ServiceSettings(service, CONNECTIONS));
     }
     coordinator.reconfigure(
         new RoutingConfiguration(
-            1, ImmutableList.of(route), settings.buildOrThrow(), CallerLimits.DEFAULT));
+            version, ImmutableList.of(route), settings.buildOrThrow(), CallerLimits.DEFAULT));
   }
 
   void server(String id, String service) {
     directory.onEntry(entry(id, service, false), clock.nanoTime());
   }
 
+  void serverOf(String zone, String id, String service) {
+    directory.onEntry(
+        new ServerEntry(id, service, "10.0.0.1:80", zone, 2, false, Duration.ZERO),
+        clock.nanoTime());
+  }
+
   static ServerEntry entry(String id, String service, boolean draining) {
     return new ServerEntry(id, service, "10.0.0.1:80", "zone-a", 2, draining, Duration.ZERO);
   }
--- /dev/null
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/RouterPair.java
@@ -0,0 +1,139 @@
+package io.arrowarch.core.forward;
+
+import com.google.common.collect.ImmutableList;
+import io.arrowarch.core.FakeClock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Two routers in virtual time: the servers of some shards are near one, those of the others near
+ * the other. What the first hands to the second waits until the test delivers it, and so do the
+ * replies.
+ */
+final class RouterPair implements RouterGroup, DelegateTransport {
+  static final ImmutableList<String> NEAR = ImmutableList.of("s1", "s2", "s3");
+  static final ImmutableList<String> FAR = ImmutableList.of("s4", "s5", "s6");
+
+  /** So many that servers have connections for two groups of them. */
+  private static final int ROUTERS = 20;
+
+  private static final NearbyRouter DELEGATE =
+      new NearbyRouter("router-b", 1, "zone-b", "10.0.0.2:1");
+
+  /** Past the first window, in which there is no share of the allowance. */
+  private static final Duration AGE = Duration.ofSeconds(11);
+
+  final FakeClock clock = new FakeClock();
+  final ForwardFixture near;
+  final ForwardFixture far;
+
+  /** What the first router has handed on and the second has not taken, by number. */
+  final Map<Long, DelegatedSearch> underWay = new HashMap<>();
+
+  /** Replies that the first router has not got, by number. */
+  final Map<Long, DelegateReply> replies = new HashMap<>();
+
+  final List<Long> cancelled = new ArrayList<>();
+  private final Map<Long, ForwardHandle> handles = new HashMap<>();
+  private ImmutableList<NearbyRouter> nearby = ImmutableList.of(DELEGATE);
+
+  RouterPair() {
+    near = new ForwardFixture(clock, "zone-a", this);
+    far = new ForwardFixture(clock, "zone-b", RouterGroup.ofCount(ROUTERS));
+    route(1);
+    for (ForwardFixture router : List.of(near, far)) {
+      for (String shard : NEAR) {
+        router.serverOf("zone-a", shard + "-a", shard);
+        router.serverOf("zone-c", shard + "-c", shard);
+      }
+      for (String shard : FAR) {
+        router.serverOf("zone-b", shard + "-b", shard);
+        router.serverOf("zone-c", shard + "-c", shard);
+      }
+    }
+    clock.advance(AGE);
+    runTimers();
+  }
+
+  void route(long version) {
+    routeNear(version);
+    routeFar(version);
+  }
+
+  void routeNear(long version) {
+    near.route(version, true, shards());
+  }
+
+  void routeFar(long version) {
+    far.route(version, true, shards());
+  }
+
+  private static String[] shards() {
+    return ImmutableList.<String>builder().addAll(NEAR).addAll(FAR).build().toArray(new String[0]);
+  }
+
+  void loseDelegate() {
+    nearby = ImmutableList.of();
+  }
+
+  /** Lets the second router take one search. */
+  void deliver(long number) {
+    DelegatedSearch search = underWay.remove(number);
+    Optional.ofNullable(search)
+        .ifPresent(
+            taken ->
+                handles.put(
+                    number,
+                    far.coordinator.submitDelegated(taken, reply -> replies.put(number, reply))));
+  }
+
+  /** Lets the first router get one reply. */
+  void reply(long number) {
+    Optional.ofNullable(replies.remove(number))
+        .ifPresent(reply -> near.coordinator.onDelegateReply(number, reply));
+  }
+
+  void advance(Duration length) {
+    for (long millis = 0; millis < length.toMillis(); millis++) {
+      clock.advance(Duration.ofMillis(1));
+      runTimers();
+    }
+  }
+
+  private void runTimers() {
+    near.advance(Duration.ZERO);
+    far.advance(Duration.ZERO);
+  }
+
+  @Override
+  public void send(long number, NearbyRouter delegate, DelegatedSearch search) {
+    underWay.put(number, search);
+  }
+
+  @Override
+  public void cancel(long number) {
+    cancelled.add(number);
+    underWay.remove(number);
+    replies.remove(number);
+    Optional.ofNullable(handles.get(number)).ifPresent(ForwardHandle::cancel);
+  }
+
+  @Override
+  public int count() {
+    return ROUTERS;
+  }
+
+  @Override
+  public ImmutableList<NearbyRouter> nearby() {
+    return nearby;
+  }
+
+  @Override
+  public DelegateTransport transport() {
+    return this;
+  }
+}
--- a/arrowarch-node/src/main/java/io/arrowarch/node/PeerEndpoint.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/PeerEndpoint.java
@@ -5,6 +5,7 @@
 import io.arrowarch.core.peer.PeerTransport;
 import io.arrowarch.core.wire.WireCodec;
 import io.vertx.core.Future;
+import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.datagram.DatagramSocket;
@@ -28,15 +29,20 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final String MESSAGE_PATH = "/v1/peer";
 
+  /** Where a router takes searches from other routers. */
+  public static final String SEARCH_PATH = "/v1/search";
+
   /** Fits an Ethernet frame with room for headers. */
   private static final int MAXIMUM_DATAGRAM_BYTES = 1_400;
 
   private static final Duration HTTP_TIMEOUT = Duration.ofSeconds(2);
   private static final int BIND_TRIES = 10;
+  private static final int NOT_FOUND = 404;
   private static final int CONNECTIONS_PER_PEER = 2;
 
   private final Vertx vertx;
   private final Consumer<PeerMessage> receiver;
+  private final Handler<HttpServerRequest> searches;
   private final HttpClient client;
   private HttpServer server;
   private DatagramSocket socket;
@@ -47,16 +53,24 @@
    * Creates an endpoint that listens nowhere yet.
    *
    * @param receiver told every message, on any thread
+   * @param searches takes searches that other routers hand on
    */
-  public PeerEndpoint(Vertx vertx, Consumer<PeerMessage> receiver) {
+  public PeerEndpoint(
+      Vertx vertx, Consumer<PeerMessage> receiver, Handler<HttpServerRequest> searches) {
     this.vertx = vertx;
     this.receiver = receiver;
+    this.searches = searches;
     this.client =
         vertx.createHttpClient(
             new HttpClientOptions().setConnectTimeout((int) HTTP_TIMEOUT.toMillis()),
             new PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_PEER));
   }
 
+  /** Says that this router takes no searches of others. */
+  static void takeNoSearch(HttpServerRequest request) {
+    request.response().setStatusCode(NOT_FOUND).end();
+  }
+
   /** Binds TCP and UDP to one port number and returns the address. */
   public Future<SocketAddressSetting> listen(SocketAddressSetting wanted) {
     return listen(wanted, BIND_TRIES);
@@ -65,7 +79,12 @@
   private Future<SocketAddressSetting> listen(SocketAddressSetting wanted, int triesLeft) {
     server =
         vertx
-            .createHttpServer(new HttpServerOptions().setHost(wanted.host()).setPort(wanted.port()))
+            .createHttpServer(
+                new HttpServerOptions()
+                    .setHost(wanted.host())
+                    .setPort(wanted.port())
+                    .setPerMessageWebSocketCompressionSupported(false)
+                    .setPerFrameWebSocketCompressionSupported(false))
             .requestHandler(this::onRequest);
     socket = vertx.createDatagramSocket(new DatagramSocketOptions());
     socket.handler(packet -> onBytes(packet.data().getBytes()));
@@ -130,6 +149,10 @@
   }
 
   private void onRequest(HttpServerRequest request) {
+    if (request.path().equals(SEARCH_PATH)) {
+      searches.handle(request);
+      return;
+    }
     request
         .body()
         .onSuccess(
--- a/arrowarch-node/src/main/java/io/arrowarch/node/RouterNode.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/RouterNode.java
@@ -71,7 +71,10 @@
   public Future<?> start() {
     driver = new CoreDriver(vertx, context);
     peers =
-        new PeerEndpoint(vertx, message -> driver.run(() -> driver.core().onPeerMessage(message)));
+        new PeerEndpoint(
+            vertx,
+            message -> driver.run(() -> driver.core().onPeerMessage(message)),
+            PeerEndpoint::takeNoSearch);
     return peers
         .listen(settings.peers())
         .onSuccess(bound -> peerAddress = bound)
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/CallerServer.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/CallerServer.java
@@ -76,6 +76,8 @@
                 .setPort(address.port())
                 .setTcpNoDelay(true)
                 .setAcceptBacklog(BACKLOG)
+                .setPerMessageWebSocketCompressionSupported(false)
+                .setPerFrameWebSocketCompressionSupported(false)
                 .setMaxHeaderSize(MAXIMUM_HEADER_BYTES)
                 .setMaxInitialLineLength(MAXIMUM_LINE_BYTES)
                 .setHandle100ContinueAutomatically(true));
--- /dev/null
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/DelegateClient.java
@@ -0,0 +1,125 @@
+package io.arrowarch.node.forward;
+
+import io.arrowarch.core.forward.DelegateFailure;
+import io.arrowarch.core.forward.DelegateReply;
+import io.arrowarch.core.forward.DelegateTransport;
+import io.arrowarch.core.forward.DelegatedSearch;
+import io.arrowarch.core.forward.ForwardCoordinator;
+import io.arrowarch.core.forward.NearbyRouter;
+import io.arrowarch.node.BoundedBody;
+import io.arrowarch.node.EventLoopDriver;
+import io.arrowarch.node.PeerEndpoint;
+import io.arrowarch.node.SocketAddressSetting;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Supplier;
+
+/** Hands searches to other routers over HTTP/1.1. Cancelling one closes its connection. */
+final class DelegateClient implements DelegateTransport {
+  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(200);
+  private static final int CONNECTIONS_PER_ROUTER = 32;
+
+  /** A router that has started at the same address closes the connections of its last life. */
+  private static final Duration KEEP_ALIVE = Duration.ofSeconds(10);
+
+  private final EventLoopDriver driver;
+  private final Supplier<ForwardCoordinator> coordinator;
+  private final HttpClient client;
+  private final Map<Long, Sending> sending = new HashMap<>();
+
+  DelegateClient(Vertx vertx, EventLoopDriver driver, Supplier<ForwardCoordinator> coordinator) {
+    this.driver = driver;
+    this.coordinator = coordinator;
+    this.client =
+        vertx.createHttpClient(
+            new HttpClientOptions()
+                .setTcpNoDelay(true)
+                .setKeepAliveTimeout((int) KEEP_ALIVE.toSeconds())
+                .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis()),
+            new PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_ROUTER));
+  }
+
+  @Override
+  public void send(long number, NearbyRouter delegate, DelegatedSearch search) {
+    Sending started = new Sending(number);
+    sending.put(number, started);
+    SocketAddressSetting address = SocketAddressSetting.parse(delegate.address());
+    client
+        .request(
+            new RequestOptions()
+                .setMethod(HttpMethod.POST)
+                .setHost(address.host())
+                .setPort(address.port())
+                .setURI(PeerEndpoint.SEARCH_PATH))
+        .onSuccess(request -> started.send(request, search))
+        .onFailure(failure -> started.fail(DelegateFailure.UNREACHABLE));
+  }
+
+  @Override
+  public void cancel(long number) {
+    Sending cancelled = sending.remove(number);
+    if (cancelled != null) {
+      cancelled.abort();
+    }
+  }
+
+  /** One search on its way. */
+  private final class Sending {
+    private final long number;
+    private HttpClientRequest request;
+    private boolean ended;
+
+    Sending(long number) {
+      this.number = number;
+    }
+
+    void send(HttpClientRequest opened, DelegatedSearch search) {
+      request = opened;
+      if (ended) {
+        request.reset();
+        return;
+      }
+      request
+          .send(Buffer.buffer(DelegationCodec.encode(search)))
+          .compose(response -> BoundedBody.read(response, BoundedBody.MAXIMUM_REPLY_BYTES))
+          .onSuccess(
+              body ->
+                  DelegationCodec.decodeReply(body.getBytes())
+                      .onSuccess(this::end)
+                      .onFailure(malformed -> fail(DelegateFailure.BROKEN)))
+          .onFailure(failure -> fail(DelegateFailure.BROKEN));
+    }
+
+    void abort() {
+      ended = true;
+      if (request != null) {
+        request.reset();
+      }
+    }
+
+    private void end(DelegateReply reply) {
+      if (!ended) {
+        ended = true;
+        sending.remove(number);
+        driver.run(() -> coordinator.get().onDelegateReply(number, reply));
+      }
+    }
+
+    private void fail(DelegateFailure failure) {
+      if (!ended) {
+        ended = true;
+        sending.remove(number);
+        driver.run(() -> coordinator.get().onDelegateFailure(number, failure));
+      }
+    }
+  }
+}
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardWarmUp.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardWarmUp.java
@@ -6,6 +6,7 @@
 import io.arrowarch.core.feed.FeedTransport;
 import io.arrowarch.core.forward.ForwardOptions;
 import io.arrowarch.core.forward.ForwardingRouter;
+import io.arrowarch.core.forward.RouterGroup;
 import io.arrowarch.core.route.CallerLimits;
 import io.arrowarch.core.route.Route;
 import io.arrowarch.core.route.RouteTarget;
@@ -46,14 +47,16 @@
   private static final String LOOPBACK = "127.0.0.1";
   private static final String HOST = "warm-up";
   private static final int SHARDS = 20;
-  private static final int SEARCHES = 160;
+  private static final int SEARCHES = 80;
   private static final int AT_ONCE = 4;
   private static final int LISTINGS = 3;
   private static final int OK = 200;
   private static final int PART_BYTES = 1_024;
   private static final int RECORDS = 50;
 
-  private static final Duration LONGEST = Duration.ofSeconds(2);
+  /** On slow machines; callers end it as soon as they come. */
+  private static final Duration LONGEST = Duration.ofSeconds(10);
+
   private static final Duration TIME_LEFT = Duration.ofSeconds(2);
   private static final Duration LAST_CLOSE = Duration.ofMillis(50);
 
@@ -103,11 +106,16 @@
             servers,
             new SilentFeed(),
             EventLog.NONE,
-            () -> 1);
+            RouterGroup.ofCount(1));
     this.callers = new CallerServer(vertx, driver, router, callerCodec, new ForwardMetrics());
     this.backend =
         vertx
-            .createHttpServer(new HttpServerOptions().setHost(LOOPBACK).setPort(0))
+            .createHttpServer(
+                new HttpServerOptions()
+                    .setHost(LOOPBACK)
+                    .setPort(0)
+                    .setPerMessageWebSocketCompressionSupported(false)
+                    .setPerFrameWebSocketCompressionSupported(false))
             .requestHandler(this::answer);
     this.client =
         vertx.createHttpClient(new HttpClientOptions(), new PoolOptions().setHttp1MaxSize(AT_ONCE));
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import io.arrowarch.core.event.RouterEvent;
 import io.arrowarch.core.forward.ForwardingRouter;
+import io.arrowarch.core.forward.Mechanism;
 import io.arrowarch.core.forward.RouterPeers;
 import io.arrowarch.core.peer.MemberRecord;
 import io.arrowarch.core.time.TimerQueue;
@@ -75,6 +76,7 @@
   private final long startNanos = System.nanoTime();
   private EventLoopDriver driver;
   private ForwardingRouter router;
+  private DelegateServer delegated;
   private RouterPeers peers;
   private CallerServer callers;
   private SocketAddressSetting callerAddress;
@@ -124,11 +126,20 @@
         new ServerClient(driver, () -> router.coordinator(), attemptCodec, connections);
     StoreClient store =
         new StoreClient(vertx, driver, () -> router.follower(), feedCodec, settings.store());
+    DelegateClient delegates = new DelegateClient(vertx, driver, () -> router.coordinator());
+    delegated = new DelegateServer(driver, () -> router);
     PeerEndpoint endpoint =
-        new PeerEndpoint(vertx, message -> driver.run(() -> peers.onMessage(message)));
+        new PeerEndpoint(vertx, message -> driver.run(() -> peers.onMessage(message)), delegated);
     router =
         new ForwardingRouter(
-            settings.options(), clock, timers, random, servers, store, events, () -> peers.count());
+            settings.options(),
+            clock,
+            timers,
+            random,
+            servers,
+            store,
+            events,
+            new NodeRouterGroup(() -> peers, delegates));
     callers = new CallerServer(vertx, driver, router, callerCodec, metrics);
     bindMetrics(connections, store, endpoint);
     vertx.setPeriodic(CONNECTION_SWEEP.toMillis(), id -> connections.closeRested());
@@ -211,7 +222,8 @@
           if (turnedAway) {
             callers.closeIdle(QUIET);
           }
-          boolean done = turnedAway && callers.connectionCount() == 0;
+          boolean done =
+              turnedAway && callers.connectionCount() == 0 && delegated.inProgress() == 0;
           if (done || elapsed > LAST_FRACTION * graceNanos) {
             vertx.cancelTimer(id);
             logProcess("stopped", done ? "" : callers.connectionCount() + " connections left");
@@ -228,7 +240,8 @@
   /** Callers that are there already warm the process up themselves, and must not wait. */
   private void warmUp() {
     listedNanos = System.nanoTime();
-    if (callers.connectionCount() > 0) {
+    boolean wanted = settings.options().has(Mechanism.WARM_UP);
+    if (!wanted || callers.connectionCount() > 0) {
       onWarm(0);
       return;
     }
--- /dev/null
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/NodeRouterGroup.java
@@ -0,0 +1,39 @@
+package io.arrowarch.node.forward;
+
+import com.google.common.collect.ImmutableList;
+import io.arrowarch.core.forward.DelegateTransport;
+import io.arrowarch.core.forward.NearbyRouter;
+import io.arrowarch.core.forward.RouterGroup;
+import io.arrowarch.core.forward.RouterPeers;
+import java.util.function.Supplier;
+
+/** The other routers, as membership knows them and the node reaches them. */
+final class NodeRouterGroup implements RouterGroup {
+  private final Supplier<RouterPeers> peers;
+  private final DelegateTransport transport;
+
+  /**
+   * Creates a group.
+   *
+   * @param peers asked only once the node listens, which is when its own address is known
+   */
+  NodeRouterGroup(Supplier<RouterPeers> peers, DelegateTransport transport) {
+    this.peers = peers;
+    this.transport = transport;
+  }
+
+  @Override
+  public int count() {
+    return peers.get().count();
+  }
+
+  @Override
+  public ImmutableList<NearbyRouter> nearby() {
+    return peers.get().nearby();
+  }
+
+  @Override
+  public DelegateTransport transport() {
+    return transport;
+  }
+}
