--- a/arrowarch-cli/src/main/java/io/arrowarch/cli/ForwardSettingsDocument.java
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/ForwardSettingsDocument.java
@@ -38,11 +38,13 @@
     String store,
     Optional<List<String>> contacts,
     Optional<String> stopGrace,
+    Optional<String> storeSilence,
     Optional<Integer> maximumRequests,
     ExtraAttemptsDocument extraAttempts,
     Optional<List<String>> without) {
   private static final String SCHEMA = "forward-settings.schema.json";
   private static final String DEFAULT_STOP_GRACE = "6s";
+  private static final String DEFAULT_STORE_SILENCE = "4s";
   private static final int DEFAULT_MAXIMUM_REQUESTS = 1_000;
   private static final Duration DEFAULT_TIME_LEFT = Duration.ofSeconds(10);
 
@@ -109,6 +111,7 @@
         fields.text("store"),
         Optional.of(fields.texts("contacts")),
         fields.optionalText("stopGrace"),
+        fields.optionalText("storeSilence"),
         fields.optionalWhole("maximumRequests").map(Math::toIntExact),
         new ExtraAttemptsDocument(
             extraAttempts.number("ratio"),
@@ -136,6 +139,7 @@
             maximumRequests.orElse(DEFAULT_MAXIMUM_REQUESTS),
             extraAttempts.toRules(),
             DEFAULT_TIME_LEFT,
+            Durations.parse(storeSilence.orElse(DEFAULT_STORE_SILENCE)),
             without.orElse(ImmutableList.of()).stream()
                 .map(ForwardSettingsDocument::mechanism)
                 .collect(ImmutableSet.toImmutableSet())));
--- a/arrowarch-cli/src/test/java/io/arrowarch/cli/ForwardSettingsTest.java
+++ b/arrowarch-cli/src/test/java/io/arrowarch/cli/ForwardSettingsTest.java
@@ -56,6 +56,19 @@
     assertThat(faults("{")).hasSize(1);
   }
 
+  @Test
+  public void timesHaveDefaultsAndAreChecked() throws IOException {
+    String silent = VALID.replace("\"id\"", "\"storeSilence\": \"5000ms\", \"id\"");
+
+    assertThat(read(VALID).toNodeSettings().options().storeSilence())
+        .isEqualTo(Duration.ofSeconds(4));
+    assertThat(read(silent).toNodeSettings().options().storeSilence())
+        .isEqualTo(Duration.ofSeconds(5));
+    assertThat(faults(silent.replace("5000ms", "soon")))
+        .extracting(ConfigurationFault::path)
+        .containsExactly("$.storeSilence");
+  }
+
   @Test
   public void mechanismsAreLeftOutByName() throws IOException {
     String without = VALID.replace("\"id\"", "\"without\": [\"hedges\"], \"id\"");
--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/StoreFollower.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/StoreFollower.java
@@ -19,18 +19,18 @@
  * <p>Waits are bounded, since a watch behind a cut that swallows packets is silent for ever.
  */
 public final class StoreFollower {
-  /**
-   * The longest wait of a watch. With the slack below it bounds how long a silent connection is
-   * believed: shorter than the time after a cut by which a router must be up to date again.
-   */
-  static final Duration LONGEST_WAIT = Duration.ofMillis(2_400);
-
+  /** The answer of a watch may take this much longer than its wait. */
   static final Duration ANSWER_SLACK = Duration.ofMillis(900);
+
   static final Duration LIST_TIMEOUT = Duration.ofSeconds(2);
 
   /** Changes come in groups; a pause after some lets the next call bring the rest. */
   static final Duration PAUSE_AFTER_CHANGES = Duration.ofMillis(400);
 
+  /** What a new connection and a call on it may take. */
+  static final Duration RECONNECT_TIME = Duration.ofMillis(700);
+
+  private static final Duration SHORTEST_WAIT = Duration.ofSeconds(1);
   private static final Duration FIRST_BACKOFF = Duration.ofMillis(100);
   private static final int MAXIMUM_DOUBLINGS = 3;
 
@@ -39,6 +39,7 @@
   private final RouterClock clock;
   private final TimerQueue timers;
   private final RandomGenerator random;
+  private final Duration longestWait;
   private final Map<String, Long> revisions = new HashMap<>();
   private final Set<String> listed = new HashSet<>();
   private Optional<Long> position = Optional.empty();
@@ -48,18 +49,30 @@
   private boolean everAnswered;
   private long lastAnswerNanos;
 
-  /** Creates a follower that has read nothing. */
+  /**
+   * Creates a follower that has read nothing.
+   *
+   * @param longestSilence after the store is back, this long until it must be followed again
+   */
   public StoreFollower(
       FeedTransport transport,
       FeedListener listener,
       RouterClock clock,
       TimerQueue timers,
-      RandomGenerator random) {
+      RandomGenerator random,
+      Duration longestSilence) {
     this.transport = transport;
     this.listener = listener;
     this.clock = clock;
     this.timers = timers;
     this.random = random;
+    this.longestWait = waitWithin(longestSilence);
+  }
+
+  /** How long a watch may wait, so that a silent one is found and followed by another in time. */
+  private static Duration waitWithin(Duration longestSilence) {
+    Duration wait = longestSilence.minus(ANSWER_SLACK).minus(RECONNECT_TIME);
+    return wait.compareTo(SHORTEST_WAIT) < 0 ? SHORTEST_WAIT : wait;
   }
 
   /** Starts with a listing. */
@@ -175,7 +188,7 @@
 
   private void watch() {
     transport.watch(
-        ++currentCall, position.orElseThrow(), LONGEST_WAIT, LONGEST_WAIT.plus(ANSWER_SLACK));
+        ++currentCall, position.orElseThrow(), longestWait, longestWait.plus(ANSWER_SLACK));
   }
 
   private void schedule(long delayNanos, Runnable task) {
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/AttemptSender.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/AttemptSender.java
@@ -112,7 +112,11 @@
     long number = nextNumber++;
     ServerAttempt attempt =
         new ServerAttempt(
-            number, server.entry(), execution.request(), execution.attemptDeadlineNanos());
+            number,
+            server.entry(),
+            execution.request(),
+            execution.attemptDeadlineNanos(),
+            execution.isSearch());
     PartProgress.OpenAttempt open = new PartProgress.OpenAttempt(attempt, purpose, nowNanos);
     logSent(execution, part, server, open, nowNanos);
     sent.put(number, new Sent(execution, part, open));
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
@@ -409,7 +409,8 @@
         .collect(ImmutableList.toImmutableList());
   }
 
-  private boolean isSearch() {
+  /** Whether its answer is merged of many. */
+  boolean isSearch() {
     return route.target() instanceof RouteTarget.AllShards;
   }
 }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardOptions.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardOptions.java
@@ -11,6 +11,7 @@
  * @param maximumRequests requests in progress above which new ones are refused
  * @param extraAttempts bounds of hedges and retries over all routers
  * @param defaultTimeLeft how long a caller is taken to wait that does not say it
+ * @param storeSilence after the store is back, this long until it must be followed again
  * @param without mechanisms that are left out, for experiments only
  */
 public record ForwardOptions(
@@ -19,6 +20,7 @@
     int maximumRequests,
     ExtraAttemptRules extraAttempts,
     Duration defaultTimeLeft,
+    Duration storeSilence,
     ImmutableSet<Mechanism> without) {
 
   /** Whether a mechanism is in use. */
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardingRouter.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardingRouter.java
@@ -57,7 +57,7 @@
     this.clock = clock;
     this.timers = timers;
     this.events = events;
-    this.follower = new StoreFollower(feed, this, clock, timers, random);
+    this.follower = new StoreFollower(feed, this, clock, timers, random, options.storeSilence());
     this.coordinator =
         new ForwardCoordinator(options, clock, timers, random, directory, servers, events, group);
   }
--- a/arrowarch-core/src/test/java/io/arrowarch/core/feed/StoreFollowerTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/feed/StoreFollowerTest.java
@@ -14,6 +14,8 @@
 import org.testng.annotations.Test;
 
 public final class StoreFollowerTest {
+  private static final Duration LONGEST_SILENCE = Duration.ofSeconds(4);
+
   private FakeClock clock;
   private TimerQueue timers;
   private RecordingTransport transport;
@@ -26,7 +28,11 @@
     timers = new TimerQueue();
     transport = new RecordingTransport();
     listener = new RecordingListener();
-    follower = new StoreFollower(transport, listener, clock, timers, new Random(1));
+    follow(LONGEST_SILENCE);
+  }
+
+  private void follow(Duration longestSilence) {
+    follower = new StoreFollower(transport, listener, clock, timers, new Random(1), longestSilence);
     follower.start();
   }
 
@@ -115,8 +121,28 @@
 
   @Test
   public void silenceIsBelievedForLessThanTheTimeAfterACut() {
-    Duration silence = StoreFollower.LONGEST_WAIT.plus(StoreFollower.ANSWER_SLACK);
-    assertThat(silence).isLessThan(Duration.ofMillis(3_500));
+    answer(100, false);
+
+    assertThat(transport.lastTimeout).isLessThan(Duration.ofMillis(3_500));
+    assertThat(transport.lastTimeout.minus(transport.lastWait))
+        .isEqualTo(StoreFollower.ANSWER_SLACK);
+  }
+
+  @Test
+  public void waitsAreLongerWhereSilenceMayBe() {
+    follow(Duration.ofSeconds(6));
+    answer(100, false);
+
+    assertThat(transport.lastTimeout)
+        .isEqualTo(Duration.ofSeconds(6).minus(StoreFollower.RECONNECT_TIME));
+  }
+
+  @Test
+  public void waitsStayPositiveWhereNoSilenceMayBe() {
+    follow(Duration.ZERO);
+    answer(100, false);
+
+    assertThat(transport.lastWait).isPositive();
   }
 
   private void runBackoff() {
@@ -147,6 +173,8 @@
   private static final class RecordingTransport implements FeedTransport {
     private final List<String> calls = new ArrayList<>();
     private long call;
+    private Duration lastWait = Duration.ZERO;
+    private Duration lastTimeout = Duration.ZERO;
 
     @Override
     public void list(long number, Optional<String> afterKey, Duration timeout) {
@@ -157,6 +185,8 @@
     @Override
     public void watch(long number, long afterRevision, Duration wait, Duration timeout) {
       call = number;
+      lastWait = wait;
+      lastTimeout = timeout;
       calls.add("watch after " + afterRevision);
     }
 
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/ForwardFixture.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/ForwardFixture.java
@@ -66,6 +66,7 @@
                 100,
                 new ExtraAttemptRules(0.2, 56, Duration.ofSeconds(10)),
                 Duration.ofSeconds(5),
+                Duration.ofSeconds(4),
                 ImmutableSet.of()),
             clock,
             timers,
