--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/DelegateClient.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/DelegateClient.java
@@ -28,24 +28,46 @@
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(200);
   private static final int CONNECTIONS_PER_ROUTER = 32;
 
-  /** A router that has started at the same address closes the connections of its last life. */
   private static final Duration KEEP_ALIVE = Duration.ofSeconds(10);
 
+  private final Vertx vertx;
   private final EventLoopDriver driver;
   private final Supplier<ForwardCoordinator> coordinator;
-  private final HttpClient client;
+  private final Map<String, Peer> peers = new HashMap<>();
   private final Map<Long, Sending> sending = new HashMap<>();
 
   DelegateClient(Vertx vertx, EventLoopDriver driver, Supplier<ForwardCoordinator> coordinator) {
+    this.vertx = vertx;
     this.driver = driver;
     this.coordinator = coordinator;
-    this.client =
-        vertx.createHttpClient(
-            new HttpClientOptions()
-                .setTcpNoDelay(true)
-                .setKeepAliveTimeout((int) KEEP_ALIVE.toSeconds())
-                .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis()),
-            new PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_ROUTER));
+  }
+
+  /**
+   * Connections to one incarnation of a router. Those to an earlier one may look open when its
+   * machine has lost power, and a search that is lost on one is not run again.
+   */
+  private record Peer(long incarnation, HttpClient client) {}
+
+  private HttpClient clientOf(NearbyRouter delegate) {
+    Peer known = peers.get(delegate.address());
+    if (known != null && known.incarnation() == delegate.incarnation()) {
+      return known.client();
+    }
+    if (known != null) {
+      known.client().close();
+    }
+    HttpClient made = createClient();
+    peers.put(delegate.address(), new Peer(delegate.incarnation(), made));
+    return made;
+  }
+
+  private HttpClient createClient() {
+    return vertx.createHttpClient(
+        new HttpClientOptions()
+            .setTcpNoDelay(true)
+            .setKeepAliveTimeout((int) KEEP_ALIVE.toSeconds())
+            .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis()),
+        new PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_ROUTER));
   }
 
   @Override
@@ -53,7 +75,7 @@
     Sending started = new Sending(number);
     sending.put(number, started);
     SocketAddressSetting address = SocketAddressSetting.parse(delegate.address());
-    client
+    clientOf(delegate)
         .request(
             new RequestOptions()
                 .setMethod(HttpMethod.POST)
