Gather wide searches at large machines near the servers; make lists of members once a change

Cause: where servers have too few connections for every router, each search was cut into eight groups, so that each of 60 routers handed on, gathered and asked servers itself, rarely enough that connections had been closed (20,563 new ones for 98,500 arrivals) and code was cold. Each part also counted the members anew, through two streams over all of them: some 10,000 steps a search at 95 routers. Change: Gatherers ranks the routers of zones near the servers by processor, large machines first, as many as the servers have connections for; a search goes whole (150 shards at most a group) to the least loaded one of its zone, to up to three in turn while they decline. The settings tell the machine's processor, the member record carries it. Allowance of extra attempts and connections are shared among gatherers. A later version with the same shards is no reason to decline. MemberTable and RouterPeers keep their lists until a claim changes them.

--- a/arrowarch-cli/src/main/java/io/arrowarch/cli/ForwardSettingsDocument.java
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/ForwardSettingsDocument.java
@@ -31,6 +31,7 @@
 public record ForwardSettingsDocument(
     String id,
     String zone,
+    Optional<ProcessorDocument> processor,
     String callers,
     String readiness,
     String peers,
@@ -43,11 +44,25 @@
     ExtraAttemptsDocument extraAttempts,
     Optional<List<String>> without) {
   private static final String SCHEMA = "forward-settings.schema.json";
+  private static final String PROCESSOR = "processor";
   private static final String DEFAULT_STOP_GRACE = "6s";
   private static final String DEFAULT_STORE_SILENCE = "4s";
+  private static final double DEFAULT_CORES = 1;
   private static final int DEFAULT_MAXIMUM_REQUESTS = 1_000;
   private static final Duration DEFAULT_TIME_LEFT = Duration.ofSeconds(10);
 
+  /**
+   * The processor that the machine gives the router.
+   *
+   * @param speed how fast it is, as a multiple of one core
+   * @param share the part of the time for which the router has it, from 0 to 1
+   */
+  public record ProcessorDocument(double speed, double share) {
+    double toCores() {
+      return speed * share;
+    }
+  }
+
   /** Bounds of hedges and retries over all routers. */
   public record ExtraAttemptsDocument(double ratio, double allowance, String window) {
     ExtraAttemptRules toRules() {
@@ -85,6 +100,9 @@
     ForwardNodeSettings unused = document.toNodeSettings();
     requireOnly(ForwardSettingsDocument.class, fields);
     requireOnly(ExtraAttemptsDocument.class, fields.object("extraAttempts"));
+    if (document.processor().isPresent()) {
+      requireOnly(ProcessorDocument.class, fields.object(PROCESSOR));
+    }
     return document;
   }
 
@@ -104,6 +122,7 @@
     return new ForwardSettingsDocument(
         fields.text("id"),
         fields.text("zone"),
+        processor(fields),
         fields.text("callers"),
         fields.text("readiness"),
         fields.text("peers"),
@@ -120,6 +139,14 @@
         Optional.of(fields.texts("without")));
   }
 
+  private static Optional<ProcessorDocument> processor(JsonFields fields) {
+    if (!fields.names().contains(PROCESSOR)) {
+      return Optional.empty();
+    }
+    JsonFields processor = fields.object(PROCESSOR);
+    return Optional.of(new ProcessorDocument(processor.number("speed"), processor.number("share")));
+  }
+
   /** The settings with defaults filled in. */
   ForwardNodeSettings toNodeSettings() {
     return new ForwardNodeSettings(
@@ -136,6 +163,7 @@
         new ForwardOptions(
             id,
             zone,
+            processor.map(ProcessorDocument::toCores).orElse(DEFAULT_CORES),
             maximumRequests.orElse(DEFAULT_MAXIMUM_REQUESTS),
             extraAttempts.toRules(),
             DEFAULT_TIME_LEFT,
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/AttemptBudgets.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/AttemptBudgets.java
@@ -2,24 +2,24 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.function.IntSupplier;
+import java.util.function.ToDoubleFunction;
 
 /** The budgets of extra attempts, one for each service. */
 final class AttemptBudgets {
   private ExtraAttemptRules rules;
-  private final IntSupplier routers;
+  private final ToDoubleFunction<String> allowancePart;
   private final long startNanos;
   private final Map<String, ServiceBudget> budgets = new HashMap<>();
 
   /**
    * Creates budgets.
    *
-   * @param routers how many routers share the allowance; more rather than fewer when unknown
+   * @param allowancePart the part of a service's allowance that is this router's, from 0 to 1
    * @param startNanos when the process started
    */
-  AttemptBudgets(ExtraAttemptRules rules, IntSupplier routers, long startNanos) {
+  AttemptBudgets(ExtraAttemptRules rules, ToDoubleFunction<String> allowancePart, long startNanos) {
     this.rules = rules;
-    this.routers = routers;
+    this.allowancePart = allowancePart;
     this.startNanos = startNanos;
   }
 
@@ -36,23 +36,23 @@
   }
 
   boolean tryRetry(String service, long nowNanos) {
-    return of(service).tryRetry(share(nowNanos), nowNanos);
+    return of(service).tryRetry(share(service, nowNanos), nowNanos);
   }
 
   boolean tryHedge(String service, long nowNanos) {
-    return of(service).tryHedge(share(nowNanos), nowNanos);
+    return of(service).tryHedge(share(service, nowNanos), nowNanos);
   }
 
   double left(String service, long nowNanos) {
-    return of(service).left(share(nowNanos), nowNanos);
+    return of(service).left(share(service, nowNanos), nowNanos);
   }
 
   /** Nothing within the first window: this router's last life may have spent its share. */
-  private double share(long nowNanos) {
+  private double share(String service, long nowNanos) {
     if (nowNanos - startNanos < rules.window().toNanos()) {
       return 0;
     }
-    return rules.allowance() / Math.max(1, routers.getAsInt());
+    return rules.allowance() * allowancePart.applyAsDouble(service);
   }
 
   private ServiceBudget of(String service) {
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ConnectionShares.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ConnectionShares.java
@@ -1,84 +1,63 @@
 package io.arrowarch.core.forward;
 
-import io.arrowarch.core.route.Route;
-import io.arrowarch.core.route.RouteTarget;
-import io.arrowarch.core.route.RoutingConfiguration;
-import io.arrowarch.core.route.ServiceSettings;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
 
-/** How routers share the connections that servers take. */
+/** How routers share the connections that servers take, and the allowance of extra attempts. */
 final class ConnectionShares {
-  /**
-   * The part of a server's connections that routers use. The rest is for those that are being
-   * opened or closed, and for what servers still hold of routers that have lost power.
-   */
-  private static final double USED_FRACTION = 2.0 / 3;
-
   /** A router that has just started takes half: servers may hold connections of its last life. */
   private static final int YOUNG_DIVISOR = 2;
 
-  private static final int DEFAULT_CONNECTIONS = 16;
-
   /** More attempts at one server would only wait there. */
   private static final int MAXIMUM_OPEN = 8;
 
+  /** Routers see a gatherer come or go a moment apart; so many more are taken to share. */
+  private static final int UNSEEN_GATHERERS = 2;
+
+  private final SearchLayout layout;
+  private final Gatherers gatherers;
   private final IntSupplier routers;
   private final BooleanSupplier young;
-  private final boolean mayGroup;
-  private final Map<String, Integer> connections = new HashMap<>();
-
-  /** Of services that are shards: how many shards their narrowest search has. */
-  private final Map<String, Integer> widths = new HashMap<>();
 
   /**
-   * Creates shares for no configuration.
+   * Creates shares.
    *
    * @param routers how many share servers
    * @param young whether this router has just started
-   * @param mayGroup whether routers may be divided into groups, each of which uses some servers
    */
-  ConnectionShares(IntSupplier routers, BooleanSupplier young, boolean mayGroup) {
+  ConnectionShares(
+      SearchLayout layout, Gatherers gatherers, IntSupplier routers, BooleanSupplier young) {
+    this.layout = layout;
+    this.gatherers = gatherers;
     this.routers = routers;
     this.young = young;
-    this.mayGroup = mayGroup;
-  }
-
-  void reconfigure(RoutingConfiguration updated) {
-    connections.clear();
-    for (ServiceSettings service : updated.services().values()) {
-      connections.put(service.name(), service.maximumConnections());
-    }
-    widths.clear();
-    for (Route route : updated.routes()) {
-      if (route.target() instanceof RouteTarget.AllShards search) {
-        int width = search.services().size();
-        search.services().forEach(shard -> widths.merge(shard, width, Math::min));
-      }
-    }
   }
 
   /** Attempts that this router may have open at one server of a service. */
   int share(String service) {
-    double sharing = (double) routers.getAsInt() / groups(service);
-    double share = used(service) / Math.max(1, sharing);
+    double share = layout.used(service) / connectionSharers(service);
     if (young.getAsBoolean()) {
       share /= YOUNG_DIVISOR;
     }
     return Math.max(1, Math.min(MAXIMUM_OPEN, (int) share));
   }
 
-  /** Among how many groups of routers the shards of a search are divided, by one of them. */
-  int groups(String shard) {
-    Integer width = widths.get(shard);
-    return mayGroup && width != null
-        ? ShardGroups.count(width, used(shard), routers.getAsInt())
-        : 1;
+  private int connectionSharers(String service) {
+    int all = Math.max(1, routers.getAsInt());
+    return layout.isGathered(service) ? gatherers.sharing(service).orElse(all) : all;
   }
 
-  private double used(String service) {
-    return USED_FRACTION * connections.getOrDefault(service, DEFAULT_CONNECTIONS);
+  /**
+   * The part of a service's allowance of extra attempts that is this router's, from 0 to 1. Of a
+   * shard that others gather it has none.
+   */
+  double allowancePart(String service) {
+    if (!layout.isGathered(service)) {
+      return 1.0 / Math.max(1, routers.getAsInt());
+    }
+    return gatherers.sharing(service).stream()
+        .mapToDouble(sharing -> 1.0 / (sharing + UNSEEN_GATHERERS))
+        .findFirst()
+        .orElse(0);
   }
 }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/DelegatedSearch.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/DelegatedSearch.java
@@ -36,6 +36,11 @@
         && all.services().containsAll(shards);
   }
 
+  /** Whether a route is a search of just these shards, so that all parts are of one version. */
+  boolean isWhole(Route route) {
+    return route.target() instanceof RouteTarget.AllShards all && all.services().equals(shards);
+  }
+
   /** The route with no other shards than these, any of which will do. */
   Route narrow(Route route) {
     int limit = ((RouteTarget.AllShards) route.target()).limit();
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
@@ -34,6 +34,7 @@
   private final RandomGenerator random;
   private final EventLog events;
   private final HeldRequests held;
+  private final SearchLayout layout;
   private final ConnectionShares shares;
   private final AttemptSender sender;
   private final SearchAdmission admission;
@@ -64,17 +65,19 @@
     this.events = events;
     this.startNanos = clock.nanoTime();
     this.held = new HeldRequests(clock, timers, options.maximumRequests(), this::refuseHeld);
-    this.shares =
-        new ConnectionShares(group::count, this::isYoung, options.has(Mechanism.DELEGATION));
+    this.layout = new SearchLayout(group::count, options.has(Mechanism.DELEGATION));
+    Gatherers gatherers = new Gatherers(options, group, layout, new ZoneCoverage(directory), clock);
+    this.shares = new ConnectionShares(layout, gatherers, group::count, this::isYoung);
     this.delegator =
         new PartDelegator(
             clock,
             timers,
-            new DelegateChooser(options, group, shares::groups, directory, random),
+            new DelegateChooser(group, layout, gatherers, random),
             group.transport(),
             events);
     this.admission = new SearchAdmission(clock, timers, random, options.has(Mechanism.SLOW_START));
-    AttemptBudgets budgets = new AttemptBudgets(options.extraAttempts(), group::count, startNanos);
+    AttemptBudgets budgets =
+        new AttemptBudgets(options.extraAttempts(), shares::allowancePart, startNanos);
     this.sender =
         new AttemptSender(
             clock, timers, random, options, directory, budgets, transport, events, shares::share);
@@ -83,7 +86,7 @@
   /** Takes a configuration; requests in progress keep theirs. */
   public void reconfigure(RoutingConfiguration updated) {
     configuration = Optional.of(updated);
-    shares.reconfigure(updated);
+    layout.reconfigure(updated);
   }
 
   /** The configuration and the servers are known: requests need not be held any more. */
@@ -254,12 +257,13 @@
   }
 
   private Optional<String> reasonToDecline(DelegatedSearch search, Optional<Route> route) {
-    if (configuration.isEmpty() || configuration.get().version() != search.version()) {
-      return Optional.of("another version of the configuration is in force");
-    }
     if (route.isEmpty() || !search.isOf(route.get())) {
       return Optional.of("no search has this host, path and shards");
     }
+    boolean sameVersion = configuration.orElseThrow().version() == search.version();
+    if (!sameVersion && !search.isWhole(route.get())) {
+      return Optional.of("another version of the configuration is in force");
+    }
     return inProgress < options.maximumRequests()
         ? Optional.empty()
         : Optional.of("too many requests are in progress");
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
@@ -147,14 +147,21 @@
       ownTimers.add(timers.schedule(times.objectiveNanos(), this::onObjective));
     }
     if (route.target() instanceof RouteTarget.AllShards search) {
-      handedParts.handOn(
-          delegator, new Delegator.Search(request, route, version, times, search.services()));
+      handOn(search.services());
     }
     startFirst(parts.stream().filter(part -> !part.isHandedOn()).toList());
   }
 
+  /** Hands parts to other routers where that is of use. */
+  void handOn(ImmutableList<String> shards) {
+    handedParts.handOn(delegator, new Delegator.Search(request, route, version, times, shards));
+  }
+
   /** Sends the first attempts of parts that this router runs itself. */
   void startFirst(List<PartProgress> first) {
+    if (first.isEmpty()) {
+      return;
+    }
     long nowNanos = clock.nanoTime();
     for (PartProgress part : first) {
       sender.budgets().onRequest(part.service(), nowNanos);
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardOptions.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardOptions.java
@@ -8,6 +8,7 @@
  *
  * @param id of the router
  * @param zone where the router runs
+ * @param cores how much processor the router has, in cores
  * @param maximumRequests requests in progress above which new ones are refused
  * @param extraAttempts bounds of hedges and retries over all routers
  * @param defaultTimeLeft how long a caller is taken to wait that does not say it
@@ -17,6 +18,7 @@
 public record ForwardOptions(
     String id,
     String zone,
+    double cores,
     int maximumRequests,
     ExtraAttemptRules extraAttempts,
     Duration defaultTimeLeft,
--- /dev/null
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/Gatherers.java
@@ -0,0 +1,159 @@
+package io.arrowarch.core.forward;
+
+import com.google.common.collect.ImmutableList;
+import io.arrowarch.core.time.RouterClock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalInt;
+
+/**
+ * Which routers gather the parts of wide searches for the others, as this one sees it. They stand
+ * in the zones where the shards have servers, so that one merged answer crosses between zones in
+ * place of all parts; they are the larger machines there, and so few that their connections to the
+ * servers are used often and their code is warm.
+ */
+final class Gatherers {
+  /** A zone will do with this part of the coverage of the best zone. */
+  private static final double NEARLY_BEST_COVERAGE = 0.9;
+
+  /** Machines of this part of the largest one's processor are as good. */
+  private static final double NEARLY_LARGEST = 0.6;
+
+  /** How long a choice holds; members and servers change slowly. */
+  private static final Duration LIFE = Duration.ofMillis(200);
+
+  private final ForwardOptions options;
+  private final RouterGroup routers;
+  private final SearchLayout layout;
+  private final ZoneCoverage coverage;
+  private final RouterClock clock;
+  private final Map<String, Choice> choices = new HashMap<>();
+  private long chosenNanos = Long.MIN_VALUE;
+
+  /**
+   * The gatherers of a group that this router would use.
+   *
+   * @param first the other routers to hand the group to
+   * @param reserve where none of the first takes it
+   * @param ownRole whether this router is one of them itself
+   * @param sharing how many gatherers of first rank there are in all zones
+   */
+  record Choice(
+      ImmutableList<NearbyRouter> first,
+      ImmutableList<NearbyRouter> reserve,
+      OwnRole ownRole,
+      int sharing) {}
+
+  /** What a router is for a group itself. */
+  enum OwnRole {
+    /** Gathers it for others and itself. */
+    FIRST,
+    /** Gathers it where no router of first rank can. */
+    RESERVE,
+    /** Hands it on. */
+    NONE
+  }
+
+  Gatherers(
+      ForwardOptions options,
+      RouterGroup routers,
+      SearchLayout layout,
+      ZoneCoverage coverage,
+      RouterClock clock) {
+    this.options = options;
+    this.routers = routers;
+    this.layout = layout;
+    this.coverage = coverage;
+    this.clock = clock;
+  }
+
+  /** How many routers share the servers of a shard, if this one gathers it. */
+  OptionalInt sharing(String shard) {
+    Choice choice = of(layout.groupOf(shard));
+    return choice.ownRole() == OwnRole.FIRST
+        ? OptionalInt.of(choice.sharing())
+        : OptionalInt.empty();
+  }
+
+  /** The gatherers of a group of shards. */
+  Choice of(ImmutableList<String> group) {
+    long nowNanos = clock.nanoTime();
+    if (nowNanos - chosenNanos > LIFE.toNanos()) {
+      choices.clear();
+      chosenNanos = nowNanos;
+    }
+    return choices.computeIfAbsent(group.get(0), shard -> choose(group, nowNanos));
+  }
+
+  private Choice choose(ImmutableList<String> group, long nowNanos) {
+    Map<String, List<NearbyRouter>> byZone = routersByZone();
+    List<String> zones = zonesNearServers(group, byZone, nowNanos);
+    double largest = largest(zones, byZone);
+    int allowed = Math.max(1, layout.gatherersAllowed(group.get(0)) / zones.size());
+    boolean near = zones.contains(options.zone());
+    List<NearbyRouter> first = new ArrayList<>();
+    List<NearbyRouter> reserve = new ArrayList<>();
+    OwnRole ownRole = OwnRole.NONE;
+    int sharing = 0;
+    for (String zone : zones) {
+      ImmutableList<NearbyRouter> ranked = ShardGroups.ranked(group, byZone.get(zone));
+      boolean usedFromHere = !near || zone.equals(options.zone());
+      for (NearbyRouter router : ranked.subList(0, Math.min(allowed, ranked.size()))) {
+        boolean isFirst = router.cores() >= NEARLY_LARGEST * largest;
+        sharing += isFirst ? 1 : 0;
+        if (router.id().equals(options.id())) {
+          ownRole = isFirst ? OwnRole.FIRST : OwnRole.RESERVE;
+        } else if (usedFromHere) {
+          (isFirst ? first : reserve).add(router);
+        }
+      }
+    }
+    return new Choice(
+        ImmutableList.copyOf(first), ImmutableList.copyOf(reserve), ownRole, Math.max(1, sharing));
+  }
+
+  private Map<String, List<NearbyRouter>> routersByZone() {
+    Map<String, List<NearbyRouter>> byZone = new HashMap<>();
+    for (NearbyRouter router : routers.nearby()) {
+      byZone.computeIfAbsent(router.zone(), zone -> new ArrayList<>()).add(router);
+    }
+    byZone.computeIfAbsent(options.zone(), zone -> new ArrayList<>()).add(self());
+    return byZone;
+  }
+
+  private NearbyRouter self() {
+    return new NearbyRouter(options.id(), 0, options.zone(), "", options.cores());
+  }
+
+  /** Zones with routers in which nearly as many of the shards have a server as in any. */
+  private List<String> zonesNearServers(
+      ImmutableList<String> group, Map<String, List<NearbyRouter>> byZone, long nowNanos) {
+    Map<String, Double> shares = new HashMap<>();
+    double best = 0;
+    for (String zone : byZone.keySet()) {
+      double share = coverage.share(zone, group, nowNanos);
+      shares.put(zone, share);
+      best = Math.max(best, share);
+    }
+    List<String> near = new ArrayList<>();
+    for (Map.Entry<String, Double> zone : shares.entrySet()) {
+      if (zone.getValue() >= NEARLY_BEST_COVERAGE * best) {
+        near.add(zone.getKey());
+      }
+    }
+    return near;
+  }
+
+  private static double largest(List<String> zones, Map<String, List<NearbyRouter>> byZone) {
+    double largest = 0;
+    for (String zone : zones) {
+      for (NearbyRouter router : byZone.get(zone)) {
+        largest = Math.max(largest, router.cores());
+      }
+    }
+    return largest;
+  }
+}
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/HandedParts.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/HandedParts.java
@@ -7,10 +7,14 @@
 
 /** The parts of one search that other routers run, and what came of them. */
 final class HandedParts implements Delegator.Listener {
+  /** Routers that are asked for a group, one after the other, before it is run here. */
+  private static final int DELEGATES_TO_ASK = 3;
+
   private final ForwardExecution execution;
   private final List<PartProgress> parts;
   private final List<Delegator.Handed> groups = new ArrayList<>();
   private final List<ForwardedAnswer.Merged> answers = new ArrayList<>();
+  private int asked;
 
   HandedParts(ForwardExecution execution, List<PartProgress> parts) {
     this.execution = execution;
@@ -19,8 +23,11 @@
 
   /** Lets a delegator choose parts and hand them on. */
   void handOn(Delegator delegator, Delegator.Search search) {
-    groups.addAll(delegator.handOn(search, this));
-    groups.forEach(group -> partsOf(group).forEach(PartProgress::onHandedOn));
+    asked++;
+    for (Delegator.Handed group : delegator.handOn(search, this)) {
+      groups.add(group);
+      partsOf(group).forEach(PartProgress::onHandedOn);
+    }
   }
 
   /** The merged answers of other routers that are in. */
@@ -52,7 +59,10 @@
     List<PartProgress> back = partsOf(group);
     groups.remove(group);
     back.forEach(PartProgress::onTakenBack);
-    execution.startFirst(back);
+    if (asked < DELEGATES_TO_ASK) {
+      execution.handOn(group.shards());
+    }
+    execution.startFirst(back.stream().filter(part -> !part.isHandedOn()).toList());
   }
 
   @Override
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/RouterPeers.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/RouterPeers.java
@@ -35,6 +35,8 @@
   private final EventLog events;
   private final Membership membership;
   private final Consumer<String> onDrain;
+  private ImmutableList<MemberRecord> nearbyFrom = ImmutableList.of();
+  private ImmutableList<NearbyRouter> nearby = ImmutableList.of();
   private int remembered;
   private long rememberedNanos;
 
@@ -113,13 +115,35 @@
 
   /** The other routers that answer and are not stopping. */
   public ImmutableList<NearbyRouter> nearby() {
-    return membership.reachable().stream()
-        .filter(member -> member.state() == MemberRecord.State.ALIVE)
-        .map(
-            member ->
-                new NearbyRouter(
-                    member.id(), member.incarnation(), member.zone(), member.address()))
-        .collect(ImmutableList.toImmutableList());
+    ImmutableList<MemberRecord> reachable = membership.reachable();
+    if (!isSame(reachable, nearbyFrom)) {
+      nearbyFrom = reachable;
+      nearby = toNearby(reachable);
+    }
+    return nearby;
+  }
+
+  /** Whether it is the very list: comparing its members would cost as much as making it anew. */
+  @SuppressWarnings("ReferenceEquality")
+  private static boolean isSame(
+      ImmutableList<MemberRecord> members, ImmutableList<MemberRecord> others) {
+    return members == others;
+  }
+
+  private static ImmutableList<NearbyRouter> toNearby(ImmutableList<MemberRecord> members) {
+    ImmutableList.Builder<NearbyRouter> routers = ImmutableList.builder();
+    for (MemberRecord member : members) {
+      if (member.state() == MemberRecord.State.ALIVE) {
+        routers.add(
+            new NearbyRouter(
+                member.id(),
+                member.incarnation(),
+                member.zone(),
+                member.address(),
+                member.cores()));
+      }
+    }
+    return routers.build();
   }
 
   private boolean isEstablished(MemberRecord member) {
--- a/arrowarch-core/src/main/java/io/arrowarch/core/membership/MemberTable.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/membership/MemberTable.java
@@ -17,6 +17,9 @@
 
   private final Map<String, Entry> entries = new LinkedHashMap<>();
 
+  /** Made once a change, since each part of a search asks for it. */
+  private Optional<ImmutableList<MemberRecord>> reachable = Optional.empty();
+
   private record Entry(MemberRecord record, long sinceNanos) {}
 
   /** Takes a claim; returns whether it changed the table. */
@@ -26,6 +29,7 @@
       return false;
     }
     entries.put(claim.id(), new Entry(claim, nowNanos));
+    reachable = Optional.empty();
     return true;
   }
 
@@ -37,10 +41,22 @@
     return entries.values().stream().map(Entry::record).collect(ImmutableList.toImmutableList());
   }
 
+  /** Members that are not known to be dead; the same list until one of them changes. */
   ImmutableList<MemberRecord> reachable() {
-    return all().stream()
-        .filter(member -> member.state() != State.DEAD)
-        .collect(ImmutableList.toImmutableList());
+    if (reachable.isEmpty()) {
+      reachable = Optional.of(collectReachable());
+    }
+    return reachable.get();
+  }
+
+  private ImmutableList<MemberRecord> collectReachable() {
+    ImmutableList.Builder<MemberRecord> collected = ImmutableList.builder();
+    for (Entry entry : entries.values()) {
+      if (entry.record().state() != State.DEAD) {
+        collected.add(entry.record());
+      }
+    }
+    return collected.build();
   }
 
   ImmutableList<MemberRecord> dead() {
--- a/arrowarch-core/src/main/java/io/arrowarch/core/peer/MemberRecord.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/peer/MemberRecord.java
@@ -8,11 +8,18 @@
  * @param id configured name
  * @param zone where it runs
  * @param address IP number and port for peers
+ * @param cores how much processor it has, in cores; 0 when it does not say
  * @param incarnation differs after every restart, and rises
  * @param sequence raised by the router itself to refute a wrong claim about this incarnation
  */
 public record MemberRecord(
-    String id, String zone, String address, long incarnation, long sequence, State state) {
+    String id,
+    String zone,
+    String address,
+    double cores,
+    long incarnation,
+    long sequence,
+    State state) {
 
   /** In the order in which claims of the same sequence override each other. */
   public enum State {
@@ -43,11 +50,11 @@
 
   /** The same router in another state. */
   public MemberRecord withState(State changed) {
-    return new MemberRecord(id, zone, address, incarnation, sequence, changed);
+    return new MemberRecord(id, zone, address, cores, incarnation, sequence, changed);
   }
 
   /** The same router with another sequence and state. */
   public MemberRecord refuted(long newSequence, State ownState) {
-    return new MemberRecord(id, zone, address, incarnation, newSequence, ownState);
+    return new MemberRecord(id, zone, address, cores, incarnation, newSequence, ownState);
   }
 }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/router/RouterCore.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/router/RouterCore.java
@@ -45,6 +45,9 @@
   /** Routers of a zone up to which each polls at the shortest interval. */
   private static final int ROUTERS_POLLING_FULLY = 3;
 
+  /** Routers of this interface do not say how much processor they have. */
+  private static final double UNKNOWN_CORES = 0;
+
   private final RouterOptions options;
   private final RouterClock clock;
   private final RandomGenerator random;
@@ -244,6 +247,7 @@
             identity.id(),
             identity.zone(),
             options.peerAddress(),
+            UNKNOWN_CORES,
             identity.incarnation(),
             0,
             MemberRecord.State.ALIVE);
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/ForwardFixture.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/ForwardFixture.java
@@ -63,6 +63,7 @@
             new ForwardOptions(
                 "router-a",
                 zone,
+                1,
                 100,
                 new ExtraAttemptRules(0.2, 56, Duration.ofSeconds(10)),
                 Duration.ofSeconds(5),
--- /dev/null
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/GatherersTest.java
@@ -0,0 +1,183 @@
+package io.arrowarch.core.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import io.arrowarch.core.FakeClock;
+import io.arrowarch.core.route.CallerLimits;
+import io.arrowarch.core.route.Route;
+import io.arrowarch.core.route.RouteTarget;
+import io.arrowarch.core.route.RoutingConfiguration;
+import io.arrowarch.core.route.ServiceSettings;
+import io.arrowarch.core.server.ServerDirectory;
+import io.arrowarch.core.server.ServerEntry;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Which routers gather the parts of wide searches. */
+public final class GatherersTest {
+  private static final ImmutableList<String> SHARDS = ImmutableList.of("s1", "s2", "s3", "s4");
+  private static final int ROUTERS = 95;
+  private static final int CONNECTIONS = 18;
+
+  private final FakeClock clock = new FakeClock();
+  private final ServerDirectory directory = new ServerDirectory();
+  private final List<NearbyRouter> others = new ArrayList<>();
+
+  @BeforeMethod
+  public void createServers() {
+    others.clear();
+    for (String shard : SHARDS) {
+      server(shard, "near-1");
+      server(shard, "near-2");
+    }
+  }
+
+  @Test
+  public void theyStandInTheZonesOfTheServers() {
+    add("a", "near-1", 1);
+    add("b", "near-2", 1);
+    add("c", "far", 1);
+
+    assertThat(first("far")).containsExactlyInAnyOrder("a", "b");
+  }
+
+  @Test
+  public void thoseOfTheOwnZoneAreUsedWhereItHasTheServers() {
+    add("a", "near-1", 1);
+    add("b", "near-2", 1);
+
+    assertThat(first("near-1")).containsExactly("a");
+  }
+
+  @Test
+  public void theyAreTheLargerMachines() {
+    add("small-1", "near-1", 0.4);
+    add("large-1", "near-1", 1.5);
+    add("small-2", "near-2", 0.4);
+    add("large-2", "near-2", 1.5);
+    Gatherers.Choice choice = choose("far", 0.4);
+
+    assertThat(ids(choice.first())).containsExactlyInAnyOrder("large-1", "large-2");
+    assertThat(ids(choice.reserve())).containsExactlyInAnyOrder("small-1", "small-2");
+    assertThat(choice.sharing()).isEqualTo(2);
+  }
+
+  @Test
+  public void theyAreNoMoreThanTheServersHaveConnectionsFor() {
+    for (int number = 0; number < 20; number++) {
+      add("router-" + number, number % 2 == 0 ? "near-1" : "near-2", 1);
+    }
+
+    // 18 connections, two thirds of them used, two a gatherer: six.
+    assertThat(first("far")).hasSize(6);
+  }
+
+  @Test
+  public void aLargeMachineBesideTheServersGathersItself() {
+    add("a", "near-1", 0.4);
+    Gatherers.Choice choice = choose("near-1", 1.5);
+
+    assertThat(choice.ownRole()).isEqualTo(Gatherers.OwnRole.FIRST);
+    assertThat(ids(choice.reserve())).containsExactly("a");
+  }
+
+  @Test
+  public void aSmallMachineBesideALargeOneIsItsReserve() {
+    add("a", "near-1", 1.5);
+
+    assertThat(choose("near-1", 0.4).ownRole()).isEqualTo(Gatherers.OwnRole.RESERVE);
+  }
+
+  @Test
+  public void withoutRoutersBesideTheServersThisOneGathersItself() {
+    assertThat(choose("far", 1).ownRole()).isEqualTo(Gatherers.OwnRole.FIRST);
+  }
+
+  @Test
+  public void aZoneWithHalfOfTheShardsIsNotNearEnough() {
+    server("s1", "half");
+    server("s2", "half");
+    add("a", "near-1", 1);
+    add("b", "half", 1);
+
+    assertThat(first("half")).containsExactly("a");
+  }
+
+  private List<String> first(String ownZone) {
+    return ids(choose(ownZone, 1).first());
+  }
+
+  private static List<String> ids(List<NearbyRouter> routers) {
+    return routers.stream().map(NearbyRouter::id).toList();
+  }
+
+  private Gatherers.Choice choose(String ownZone, double ownCores) {
+    ForwardOptions options =
+        new ForwardOptions(
+            "self",
+            ownZone,
+            ownCores,
+            100,
+            new ExtraAttemptRules(0.2, 56, Duration.ofSeconds(10)),
+            Duration.ofSeconds(5),
+            Duration.ofSeconds(4),
+            ImmutableSet.of());
+    return new Gatherers(options, group(), layout(), new ZoneCoverage(directory), clock).of(SHARDS);
+  }
+
+  private static SearchLayout layout() {
+    SearchLayout layout = new SearchLayout(() -> ROUTERS, true);
+    ImmutableMap.Builder<String, ServiceSettings> services = ImmutableMap.builder();
+    SHARDS.forEach(shard -> services.put(shard, new ServiceSettings(shard, CONNECTIONS)));
+    Route route =
+        new Route(
+            "search",
+            "host",
+            "/",
+            true,
+            Duration.ofSeconds(2),
+            Duration.ofMillis(200),
+            2,
+            0,
+            new RouteTarget.AllShards(SHARDS, 50, 0.9));
+    layout.reconfigure(
+        new RoutingConfiguration(
+            1, ImmutableList.of(route), services.buildOrThrow(), CallerLimits.DEFAULT));
+    return layout;
+  }
+
+  private RouterGroup group() {
+    return new RouterGroup() {
+      @Override
+      public int count() {
+        return ROUTERS;
+      }
+
+      @Override
+      public ImmutableList<NearbyRouter> nearby() {
+        return ImmutableList.copyOf(others);
+      }
+
+      @Override
+      public DelegateTransport transport() {
+        return DelegateTransport.NONE;
+      }
+    };
+  }
+
+  private void add(String id, String zone, double cores) {
+    others.add(new NearbyRouter(id, 1, zone, "10.0.0.1:1", cores));
+  }
+
+  private void server(String shard, String zone) {
+    directory.onEntry(
+        new ServerEntry(shard + "-" + zone, shard, "10.0.0.1:80", zone, 2, false, Duration.ZERO),
+        clock.nanoTime());
+  }
+}
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
@@ -332,6 +332,7 @@
             settings.id(),
             settings.options().zone(),
             bound.toString(),
+            settings.options().cores(),
             System.currentTimeMillis(),
             0,
             MemberRecord.State.ALIVE);
