Long waits at the store; routers hear of later revisions from each other

Change: a quarter of each zone, two routers at least (Lookouts), waits for a short time as before. The others wait for 25 s; each message between routers carries the newest revision seen, and one that stays behind it for 1.2 s asks anew on a new connection. After a failure any router waits for a short time once. The pause after changes is a quarter of the time within which routers must act by them (settings configurationWithin, drainWithin), 0.4 s at least. A call that has no answer when the next begins is given up with its connection. A zone is near the servers unless another has 0.3 more of the shards: shards of two servers spread over six zones have no zone of their own, and a merged answer over a longer way saves nothing there.

--- a/arrowarch-cli/src/main/java/io/arrowarch/cli/ForwardSettingsDocument.java
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/ForwardSettingsDocument.java
@@ -6,6 +6,7 @@
 import com.google.common.io.Files;
 import io.arrowarch.core.config.ConfigurationFault;
 import io.arrowarch.core.config.SchemaReader;
+import io.arrowarch.core.feed.FeedBounds;
 import io.arrowarch.core.forward.ExtraAttemptRules;
 import io.arrowarch.core.forward.ForwardOptions;
 import io.arrowarch.core.forward.Mechanism;
@@ -40,6 +41,8 @@
     Optional<List<String>> contacts,
     Optional<String> stopGrace,
     Optional<String> storeSilence,
+    Optional<String> configurationWithin,
+    Optional<String> drainWithin,
     Optional<Integer> maximumRequests,
     ExtraAttemptsDocument extraAttempts,
     Optional<List<String>> without) {
@@ -47,6 +50,7 @@
   private static final String PROCESSOR = "processor";
   private static final String DEFAULT_STOP_GRACE = "6s";
   private static final String DEFAULT_STORE_SILENCE = "4s";
+  private static final String DEFAULT_APPLY = "3s";
   private static final double DEFAULT_CORES = 1;
   private static final int DEFAULT_MAXIMUM_REQUESTS = 1_000;
   private static final Duration DEFAULT_TIME_LEFT = Duration.ofSeconds(10);
@@ -131,6 +135,8 @@
         Optional.of(fields.texts("contacts")),
         fields.optionalText("stopGrace"),
         fields.optionalText("storeSilence"),
+        fields.optionalText("configurationWithin"),
+        fields.optionalText("drainWithin"),
         fields.optionalWhole("maximumRequests").map(Math::toIntExact),
         new ExtraAttemptsDocument(
             extraAttempts.number("ratio"),
@@ -167,12 +173,20 @@
             maximumRequests.orElse(DEFAULT_MAXIMUM_REQUESTS),
             extraAttempts.toRules(),
             DEFAULT_TIME_LEFT,
-            Durations.parse(storeSilence.orElse(DEFAULT_STORE_SILENCE)),
+            storeBounds(),
             without.orElse(ImmutableList.of()).stream()
                 .map(ForwardSettingsDocument::mechanism)
                 .collect(ImmutableSet.toImmutableSet())));
   }
 
+  private FeedBounds storeBounds() {
+    Duration configuration = Durations.parse(configurationWithin.orElse(DEFAULT_APPLY));
+    Duration drain = Durations.parse(drainWithin.orElse(DEFAULT_APPLY));
+    return new FeedBounds(
+        Durations.parse(storeSilence.orElse(DEFAULT_STORE_SILENCE)),
+        configuration.compareTo(drain) < 0 ? configuration : drain);
+  }
+
   private static Mechanism mechanism(String name) {
     return Mechanism.ofSettingName(name)
         .orElseThrow(() -> new IllegalArgumentException("no mechanism is named " + name));
--- a/arrowarch-cli/src/test/java/io/arrowarch/cli/ForwardSettingsTest.java
+++ b/arrowarch-cli/src/test/java/io/arrowarch/cli/ForwardSettingsTest.java
@@ -60,9 +60,9 @@
   public void timesHaveDefaultsAndAreChecked() throws IOException {
     String silent = VALID.replace("\"id\"", "\"storeSilence\": \"5000ms\", \"id\"");
 
-    assertThat(read(VALID).toNodeSettings().options().storeSilence())
+    assertThat(read(VALID).toNodeSettings().options().store().silence())
         .isEqualTo(Duration.ofSeconds(4));
-    assertThat(read(silent).toNodeSettings().options().storeSilence())
+    assertThat(read(silent).toNodeSettings().options().store().silence())
         .isEqualTo(Duration.ofSeconds(5));
     assertThat(faults(silent.replace("5000ms", "soon")))
         .extracting(ConfigurationFault::path)
--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/FeedListener.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/FeedListener.java
@@ -14,6 +14,9 @@
   /** The store gave no answer, after it had. */
   void onLost(FeedFailure failure);
 
+  /** Other routers have seen a later revision for some time: the store is asked anew. */
+  void onBehind(long revision);
+
   /** The store answers again. */
   void onRegained();
 }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/FeedTransport.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/FeedTransport.java
@@ -5,7 +5,8 @@
 
 /**
  * Reads the platform's store. Each call is answered at most once, by {@link StoreFollower#onAnswer}
- * or {@link StoreFollower#onFailure} with its number.
+ * or {@link StoreFollower#onFailure} with its number. A call that is not answered when the next
+ * begins is given up, with its connection.
  */
 public interface FeedTransport {
   /** Reads a page, linearizable, from the beginning or after a key. */
--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/StoreFollower.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/StoreFollower.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 
 /**
@@ -16,7 +17,10 @@
  * the history is gone. Pages of a listing are no snapshot, so that the higher revision of a key
  * wins, and the first page's revision is where the watch begins.
  *
- * <p>Waits are bounded, since a watch behind a cut that swallows packets is silent for ever.
+ * <p>A watch behind a cut that swallows packets, or whose answer is lost, is silent for ever.
+ * Lookouts therefore wait for a short time only. The other routers wait for as long as the store
+ * allows, and hear from their peers which revision those have seen: one that stays behind it asks
+ * anew.
  */
 public final class StoreFollower {
   /** The answer of a watch may take this much longer than its wait. */
@@ -25,7 +29,16 @@
   static final Duration LIST_TIMEOUT = Duration.ofSeconds(2);
 
   /** Changes come in groups; a pause after some lets the next call bring the rest. */
-  static final Duration PAUSE_AFTER_CHANGES = Duration.ofMillis(400);
+  static final Duration SHORTEST_PAUSE = Duration.ofMillis(400);
+
+  /** The pause, as a part of the time within which routers must act by a change. */
+  private static final double PAUSE_FRACTION = 0.25;
+
+  /** The store cuts waits of more than 30 s (its protocol); this is well below. */
+  static final Duration LONGEST_WAIT = Duration.ofSeconds(25);
+
+  /** A change reaches the routers a moment apart; one that is behind for longer misses it. */
+  static final Duration BEHIND_SLACK = Duration.ofMillis(1_200);
 
   /** What a new connection and a call on it may take. */
   static final Duration RECONNECT_TIME = Duration.ofMillis(700);
@@ -39,12 +52,18 @@
   private final RouterClock clock;
   private final TimerQueue timers;
   private final RandomGenerator random;
-  private final Duration longestWait;
+  private final BooleanSupplier lookout;
+  private final Duration shortWait;
+  private final Duration pause;
   private final Map<String, Long> revisions = new HashMap<>();
   private final Set<String> listed = new HashSet<>();
   private Optional<Long> position = Optional.empty();
   private Optional<Long> listingFrom = Optional.empty();
   private long currentCall;
+  private boolean watching;
+  private boolean checkingBehind;
+  private boolean failedSinceWatch;
+  private long newestRevision;
   private int failures;
   private boolean everAnswered;
   private long lastAnswerNanos;
@@ -52,7 +71,8 @@
   /**
    * Creates a follower that has read nothing.
    *
-   * @param longestSilence after the store is back, this long until it must be followed again
+   * @param bounds within what time the store must be followed
+   * @param lookout whether this router finds out for the others that the store is silent
    */
   public StoreFollower(
       FeedTransport transport,
@@ -60,13 +80,21 @@
       RouterClock clock,
       TimerQueue timers,
       RandomGenerator random,
-      Duration longestSilence) {
+      FeedBounds bounds,
+      BooleanSupplier lookout) {
     this.transport = transport;
     this.listener = listener;
     this.clock = clock;
     this.timers = timers;
     this.random = random;
-    this.longestWait = waitWithin(longestSilence);
+    this.lookout = lookout;
+    this.shortWait = waitWithin(bounds.silence());
+    this.pause = pauseWithin(bounds.apply());
+  }
+
+  private static Duration pauseWithin(Duration apply) {
+    Duration part = Duration.ofNanos((long) (PAUSE_FRACTION * apply.toNanos()));
+    return part.compareTo(SHORTEST_PAUSE) < 0 ? SHORTEST_PAUSE : part;
   }
 
   /** How long a watch may wait, so that a silent one is found and followed by another in time. */
@@ -92,11 +120,38 @@
         : Optional.empty();
   }
 
+  /** The newest revision of a key that this router has seen; 0 before the first. */
+  public long newestRevision() {
+    return newestRevision;
+  }
+
+  /** Hears from another router that the store has a change of this revision. */
+  public void onPeerRevision(long revision) {
+    if (watching && !checkingBehind && isBehind(revision)) {
+      checkingBehind = true;
+      long call = currentCall;
+      schedule(BEHIND_SLACK.toNanos(), () -> checkBehind(call, revision));
+    }
+  }
+
+  private boolean isBehind(long revision) {
+    return position.isPresent() && revision > Math.max(newestRevision, position.get());
+  }
+
+  private void checkBehind(long call, long revision) {
+    checkingBehind = false;
+    if (watching && call == currentCall && isBehind(revision)) {
+      listener.onBehind(revision);
+      watch();
+    }
+  }
+
   /** Takes an answer; ignored when the call is not the current one. */
   public void onAnswer(long call, FeedAnswer answer) {
     if (call != currentCall) {
       return;
     }
+    watching = false;
     if (failures > 0 && everAnswered) {
       listener.onRegained();
     }
@@ -116,6 +171,8 @@
     if (call != currentCall) {
       return;
     }
+    watching = false;
+    failedSinceWatch = true;
     if (failure == FeedFailure.HISTORY_GONE) {
       list(Optional.empty());
       return;
@@ -148,14 +205,16 @@
 
   private void onChanges(FeedAnswer answer) {
     position = Optional.of(Math.max(position.orElse(0L), answer.revision()));
+    failedSinceWatch = false;
     if (answer.items().isEmpty()) {
       watch();
     } else {
-      schedule(PAUSE_AFTER_CHANGES.toNanos(), this::watch);
+      schedule(pause.toNanos(), this::watch);
     }
   }
 
   private void apply(FeedItem item) {
+    newestRevision = Math.max(newestRevision, item.revision());
     Long known = revisions.get(item.key());
     if (known != null && known >= item.revision()) {
       return;
@@ -187,8 +246,10 @@
   }
 
   private void watch() {
-    transport.watch(
-        ++currentCall, position.orElseThrow(), longestWait, longestWait.plus(ANSWER_SLACK));
+    // After a failure the next silence is looked for closely.
+    Duration wait = lookout.getAsBoolean() || failedSinceWatch ? shortWait : LONGEST_WAIT;
+    watching = true;
+    transport.watch(++currentCall, position.orElseThrow(), wait, wait.plus(ANSWER_SLACK));
   }
 
   private void schedule(long delayNanos, Runnable task) {
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardOptions.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardOptions.java
@@ -1,6 +1,7 @@
 package io.arrowarch.core.forward;
 
 import com.google.common.collect.ImmutableSet;
+import io.arrowarch.core.feed.FeedBounds;
 import java.time.Duration;
 
 /**
@@ -12,7 +13,7 @@
  * @param maximumRequests requests in progress above which new ones are refused
  * @param extraAttempts bounds of hedges and retries over all routers
  * @param defaultTimeLeft how long a caller is taken to wait that does not say it
- * @param storeSilence after the store is back, this long until it must be followed again
+ * @param store within what time the store must be followed
  * @param without mechanisms that are left out, for experiments only
  */
 public record ForwardOptions(
@@ -22,7 +23,7 @@
     int maximumRequests,
     ExtraAttemptRules extraAttempts,
     Duration defaultTimeLeft,
-    Duration storeSilence,
+    FeedBounds store,
     ImmutableSet<Mechanism> without) {
 
   /** Whether a mechanism is in use. */
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardingRouter.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardingRouter.java
@@ -57,7 +57,10 @@
     this.clock = clock;
     this.timers = timers;
     this.events = events;
-    this.follower = new StoreFollower(feed, this, clock, timers, random, options.storeSilence());
+    Lookouts lookouts = new Lookouts(options, group);
+    this.follower =
+        new StoreFollower(
+            feed, this, clock, timers, random, options.store(), lookouts::includesSelf);
     this.coordinator =
         new ForwardCoordinator(options, clock, timers, random, directory, servers, events, group);
   }
@@ -159,6 +162,11 @@
     logStore("lost", failure.name(), 0);
   }
 
+  @Override
+  public void onBehind(long revision) {
+    logStore("behind", "other routers have seen this revision", revision);
+  }
+
   @Override
   public void onRegained() {
     logStore("regained", "", 0);
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/Gatherers.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/Gatherers.java
@@ -16,8 +16,11 @@
  * servers are used often and their code is warm.
  */
 final class Gatherers {
-  /** A zone will do with this part of the coverage of the best zone. */
-  private static final double NEARLY_BEST_COVERAGE = 0.9;
+  /**
+   * A zone is near the servers unless another has one of so many more of the shards, from 0 to 1.
+   * With less between them the bytes saved are not worth the longer way (docs/rounds/large.md).
+   */
+  private static final double COVERAGE_SLACK = 0.3;
 
   /** Machines of this part of the largest one's processor are as good. */
   private static final double NEARLY_LARGEST = 0.6;
@@ -128,7 +131,7 @@
     return new NearbyRouter(options.id(), 0, options.zone(), "", options.cores());
   }
 
-  /** Zones with routers in which nearly as many of the shards have a server as in any. */
+  /** Zones with routers in which about as many of the shards have a server as in any. */
   private List<String> zonesNearServers(
       ImmutableList<String> group, Map<String, List<NearbyRouter>> byZone, long nowNanos) {
     Map<String, Double> shares = new HashMap<>();
@@ -140,7 +143,7 @@
     }
     List<String> near = new ArrayList<>();
     for (Map.Entry<String, Double> zone : shares.entrySet()) {
-      if (zone.getValue() >= NEARLY_BEST_COVERAGE * best) {
+      if (zone.getValue() >= best - COVERAGE_SLACK) {
         near.add(zone.getKey());
       }
     }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/RouterPeers.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/RouterPeers.java
@@ -31,10 +31,20 @@
   /** Until the others are known there are taken to be many; contacts are a few of them. */
   private static final int ROUTERS_FOR_EACH_CONTACT = 3;
 
+  /** The revisions of the store that this router and others have seen. */
+  public interface StoreRevisions {
+    /** The newest that this router has seen. */
+    long newestSeen();
+
+    /** Takes the newest that another router has seen. */
+    void onSeenByPeer(long revision);
+  }
+
   private final RouterClock clock;
   private final EventLog events;
   private final Membership membership;
   private final Consumer<String> onDrain;
+  private final StoreRevisions revisions;
   private ImmutableList<MemberRecord> nearbyFrom = ImmutableList.of();
   private ImmutableList<NearbyRouter> nearby = ImmutableList.of();
   private int remembered;
@@ -46,6 +56,7 @@
    * @param self its own record
    * @param contacts peer addresses to try first
    * @param onDrain told the id of each server that another router says is leaving
+   * @param revisions the revisions of the store that routers have seen
    */
   public RouterPeers(
       MemberRecord self,
@@ -55,13 +66,14 @@
       RandomGenerator random,
       PeerTransport transport,
       EventLog events,
-      Consumer<String> onDrain) {
+      Consumer<String> onDrain,
+      StoreRevisions revisions) {
     this.clock = clock;
     this.events = events;
     this.onDrain = onDrain;
+    this.revisions = revisions;
     this.membership =
-        new Membership(
-            self, contacts, clock, timers, random, transport, RouterPeers::noConfiguration);
+        new Membership(self, contacts, clock, timers, random, transport, this::storeNews);
     this.remembered = ROUTERS_FOR_EACH_CONTACT * (1 + contacts.size());
     this.rememberedNanos = clock.nanoTime();
   }
@@ -168,13 +180,19 @@
   }
 
   private void onNews(PeerBody.News news) {
+    revisions.onSeenByPeer(news.storeRevision());
     for (DrainMark mark : news.drains()) {
       onDrain.accept(mark.backend());
     }
   }
 
-  private static PeerBody.News noConfiguration() {
+  private PeerBody.News storeNews() {
     return new PeerBody.News(
-        ConfigurationId.NONE, ConfigurationId.NONE, false, List.of(), List.of());
+        ConfigurationId.NONE,
+        ConfigurationId.NONE,
+        revisions.newestSeen(),
+        false,
+        List.of(),
+        List.of());
   }
 }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/membership/Membership.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/membership/Membership.java
@@ -59,7 +59,7 @@
   private long nextNumber = 1;
   private long periods;
 
-  /** Supplies the configuration ids that ride on every message. */
+  /** Supplies what rides on every message beside members and drains. */
   public interface NewsSource {
     /** News without members and drains. */
     PeerBody.News configurationNews();
@@ -286,6 +286,7 @@
     return new PeerBody.News(
         configuration.inForce(),
         configuration.accepted(),
+        configuration.storeRevision(),
         bulk,
         members,
         drainRumours.take(DRAINS_PER_MESSAGE, size));
--- a/arrowarch-core/src/main/java/io/arrowarch/core/peer/PeerBody.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/peer/PeerBody.java
@@ -27,11 +27,14 @@
    *
    * @param inForce the configuration that the sender holds
    * @param accepted the newest configuration that the sender knows to be accepted
+   * @param storeRevision the newest revision of the platform's store that the sender has seen; 0
+   *     where it follows none
    * @param bulk whether the members are a joiner's first list rather than news to pass on
    */
   record News(
       ConfigurationId inForce,
       ConfigurationId accepted,
+      long storeRevision,
       boolean bulk,
       List<MemberRecord> members,
       List<DrainMark> drains) {
--- a/arrowarch-core/src/main/java/io/arrowarch/core/router/RouterCore.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/router/RouterCore.java
@@ -263,7 +263,7 @@
 
   private PeerBody.News configurationNews() {
     ConfigurationStore store = agreement.store();
-    return new PeerBody.News(store.inForceId(), store.accepted(), false, List.of(), List.of());
+    return new PeerBody.News(store.inForceId(), store.accepted(), 0, false, List.of(), List.of());
   }
 
   private void onNews(MemberRecord sender, PeerBody.News news) {
--- a/arrowarch-core/src/test/java/io/arrowarch/core/feed/StoreFollowerTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/feed/StoreFollowerTest.java
@@ -21,6 +21,8 @@
   private RecordingTransport transport;
   private RecordingListener listener;
   private StoreFollower follower;
+  private Duration apply;
+  private boolean lookout;
 
   @BeforeMethod
   public void create() {
@@ -28,11 +30,21 @@
     timers = new TimerQueue();
     transport = new RecordingTransport();
     listener = new RecordingListener();
+    apply = Duration.ofSeconds(1);
+    lookout = true;
     follow(LONGEST_SILENCE);
   }
 
   private void follow(Duration longestSilence) {
-    follower = new StoreFollower(transport, listener, clock, timers, new Random(1), longestSilence);
+    follower =
+        new StoreFollower(
+            transport,
+            listener,
+            clock,
+            timers,
+            new Random(1),
+            new FeedBounds(longestSilence, apply),
+            () -> lookout);
     follower.start();
   }
 
@@ -58,7 +70,7 @@
   public void aDeletionIsToldOnce() {
     answer(100, false, written("a", 10));
     answer(111, false, deleted("a", 111));
-    clock.advance(StoreFollower.PAUSE_AFTER_CHANGES);
+    clock.advance(StoreFollower.SHORTEST_PAUSE);
     timers.runDue(clock.nanoTime());
     answer(112, false, deleted("a", 111));
 
@@ -145,6 +157,78 @@
     assertThat(transport.lastWait).isPositive();
   }
 
+  @Test
+  public void changesAreFetchedTogetherWhereRoutersMayActByThemLater() {
+    apply = Duration.ofSeconds(6);
+    follow(LONGEST_SILENCE);
+    answer(100, false);
+    answer(101, false, written("a", 101));
+    int calls = transport.calls.size();
+    pass(Duration.ofMillis(1_400));
+    assertThat(transport.calls).hasSize(calls);
+    pass(Duration.ofMillis(200));
+
+    assertThat(transport.last()).isEqualTo("watch after 101");
+  }
+
+  @Test
+  public void onlyLookoutsWaitForAShortTime() {
+    lookout = false;
+    answer(100, false);
+
+    assertThat(transport.lastWait).isEqualTo(StoreFollower.LONGEST_WAIT);
+  }
+
+  @Test
+  public void afterAFailureAnyRouterLooksForSilence() {
+    lookout = false;
+    answer(100, false);
+    fail(FeedFailure.NO_ANSWER);
+    runBackoff();
+    assertThat(transport.lastWait).isLessThan(LONGEST_SILENCE);
+    answer(100, false);
+
+    assertThat(transport.lastWait).isEqualTo(StoreFollower.LONGEST_WAIT);
+  }
+
+  @Test
+  public void aRouterThatStaysBehindTheOthersAsksAnew() {
+    lookout = false;
+    answer(100, false, written("a", 90));
+    follower.onPeerRevision(103);
+    pass(StoreFollower.BEHIND_SLACK);
+    answer(103, false, written("a", 103));
+
+    assertThat(transport.calls).containsExactly("list", "watch after 100", "watch after 100");
+    assertThat(listener.lines).containsExactly("a@90", "listed@100", "behind@103", "a@103");
+  }
+
+  @Test
+  public void aRouterThatHearsOfAChangeBeforeItComesDoesNotAskTwice() {
+    lookout = false;
+    answer(100, false, written("a", 90));
+    follower.onPeerRevision(103);
+    answer(103, false, written("a", 103));
+    pass(StoreFollower.BEHIND_SLACK);
+
+    assertThat(listener.lines).doesNotContain("behind@103");
+  }
+
+  @Test
+  public void whatOthersHaveSeenOfEarlierRevisionsSaysNothing() {
+    answer(100, false, written("a", 90));
+    follower.onPeerRevision(100);
+    pass(StoreFollower.BEHIND_SLACK.multipliedBy(2));
+
+    assertThat(transport.calls).containsExactly("list", "watch after 100");
+    assertThat(follower.newestRevision()).isEqualTo(90);
+  }
+
+  private void pass(Duration length) {
+    clock.advance(length);
+    timers.runDue(clock.nanoTime());
+  }
+
   private void runBackoff() {
     clock.advance(Duration.ofNanos(timers.nextDueNanos().orElseThrow() - clock.nanoTime()));
     timers.runDue(clock.nanoTime());
@@ -218,6 +302,11 @@
       lines.add("lost");
     }
 
+    @Override
+    public void onBehind(long revision) {
+      lines.add("behind@" + revision);
+    }
+
     @Override
     public void onRegained() {
       lines.add("regained");
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/GatherersTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/GatherersTest.java
@@ -6,6 +6,7 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import io.arrowarch.core.FakeClock;
+import io.arrowarch.core.feed.FeedBounds;
 import io.arrowarch.core.route.CallerLimits;
 import io.arrowarch.core.route.Route;
 import io.arrowarch.core.route.RouteTarget;
@@ -126,7 +127,7 @@
             100,
             new ExtraAttemptRules(0.2, 56, Duration.ofSeconds(10)),
             Duration.ofSeconds(5),
-            Duration.ofSeconds(4),
+            new FeedBounds(Duration.ofSeconds(4), Duration.ofSeconds(3)),
             ImmutableSet.of());
     return new Gatherers(options, group(), layout(), new ZoneCoverage(directory), clock).of(SHARDS);
   }
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/RouterPeersTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/RouterPeersTest.java
@@ -25,6 +25,8 @@
   private final Map<String, TimerQueue> timers = new HashMap<>();
   private final Set<String> dead = new HashSet<>();
   private final List<String> drains = new ArrayList<>();
+  private final Map<String, Long> seen = new HashMap<>();
+  private final Map<String, Long> heard = new HashMap<>();
 
   @BeforeMethod
   public void forgetOtherTests() {
@@ -32,6 +34,8 @@
     timers.clear();
     dead.clear();
     drains.clear();
+    seen.clear();
+    heard.clear();
   }
 
   @Test
@@ -86,6 +90,19 @@
     assertThat(create("r5", List.of("r1"), 1_050_000).hasEstablished()).isFalse();
   }
 
+  @Test
+  public void everyRouterHearsOfTheNewestRevisionThatAnyHasSeen() {
+    for (String id : List.of("r1", "r2", "r3", "r4", "r5", "r6", "r7", "r8")) {
+      create(id, List.of("r1")).start();
+    }
+    run(Duration.ofSeconds(3));
+    seen.put("r8", 70L);
+    // One ping a period, of 1.5 s at most, to each of the seven others in turn.
+    run(Duration.ofSeconds(12));
+
+    assertThat(heard).containsEntry("r1", 70L).containsEntry("r4", 70L).containsEntry("r7", 70L);
+  }
+
   private RouterPeers create(String id, List<String> contacts) {
     return create(id, contacts, 1);
   }
@@ -103,7 +120,18 @@
             new Random(id.hashCode()),
             (address, message) -> deliver(id, address, message),
             EventLog.NONE,
-            server -> drains.add(id + " " + server));
+            server -> drains.add(id + " " + server),
+            new RouterPeers.StoreRevisions() {
+              @Override
+              public long newestSeen() {
+                return seen.getOrDefault(id, 0L);
+              }
+
+              @Override
+              public void onSeenByPeer(long revision) {
+                heard.merge(id, revision, Math::max);
+              }
+            });
     routers.put(id, peers);
     timers.put(id, queue);
     return peers;
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
@@ -344,7 +344,18 @@
         random,
         endpoint,
         events,
-        serverId -> router.directory().onDraining(serverId, System.nanoTime()));
+        serverId -> router.directory().onDraining(serverId, System.nanoTime()),
+        new RouterPeers.StoreRevisions() {
+          @Override
+          public long newestSeen() {
+            return router.follower().newestRevision();
+          }
+
+          @Override
+          public void onSeenByPeer(long revision) {
+            router.follower().onPeerRevision(revision);
+          }
+        });
   }
 
   private Future<HttpServer> listenForReadiness() {
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/StoreClient.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/StoreClient.java
@@ -12,6 +12,7 @@
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
@@ -19,7 +20,10 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 
-/** Reads the platform's store over HTTP/1.1, one call at a time. */
+/**
+ * Reads the platform's store over HTTP/1.1, one call at a time: the next one ends the connection of
+ * one that has no answer.
+ */
 final class StoreClient implements FeedTransport {
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(800);
 
@@ -31,7 +35,9 @@
   private final FeedCodec codec;
   private final SocketAddressSetting store;
   private final HttpClient client;
+  private Optional<HttpClientRequest> unanswered = Optional.empty();
   private long calls;
+  private long newestCall;
 
   StoreClient(
       Vertx vertx,
@@ -68,6 +74,9 @@
 
   private void get(long call, String target, Duration timeout) {
     calls++;
+    newestCall = call;
+    unanswered.ifPresent(HttpClientRequest::reset);
+    unanswered = Optional.empty();
     RequestOptions options =
         new RequestOptions()
             .setMethod(HttpMethod.GET)
@@ -77,7 +86,7 @@
             .setTimeout(timeout.toMillis());
     client
         .request(options)
-        .compose(HttpClientRequest::send)
+        .compose(request -> send(call, request))
         .compose(
             response ->
                 BoundedBody.read(response, BoundedBody.MAXIMUM_DOCUMENT_BYTES)
@@ -85,7 +94,17 @@
         .onFailure(failure -> fail(call, FeedFailure.NO_ANSWER));
   }
 
+  private Future<HttpClientResponse> send(long call, HttpClientRequest request) {
+    if (call == newestCall) {
+      unanswered = Optional.of(request);
+    }
+    return request.send();
+  }
+
   private void onAnswer(long call, int status, Buffer body) {
+    if (call == newestCall) {
+      unanswered = Optional.empty();
+    }
     driver.run(
         () ->
             codec
--- a/arrowarch-node/src/test/java/io/arrowarch/node/forward/DelegateClientTest.java
+++ b/arrowarch-node/src/test/java/io/arrowarch/node/forward/DelegateClientTest.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import io.arrowarch.core.event.EventLog;
+import io.arrowarch.core.feed.FeedBounds;
 import io.arrowarch.core.forward.DelegateReply;
 import io.arrowarch.core.forward.DelegatedSearch;
 import io.arrowarch.core.forward.ExtraAttemptRules;
@@ -124,7 +125,7 @@
             1,
             new ExtraAttemptRules(0, 0, Duration.ofSeconds(10)),
             TIME_LEFT,
-            TIME_LEFT,
+            new FeedBounds(TIME_LEFT, TIME_LEFT),
             ImmutableSet.of()),
         new SystemClock(),
         new TimerQueue(),
