Gatherers keep to the least coverage and the asking router's version; members join sooner

During a reshard gatherers with another version declined (61 times), and small cold machines ran the search. In its first second a gatherer asked all servers twice, since all were late. A cold router kept back half of the objective for the way. Routers that had started together knew each other after 2 to 32 s: until then all asked all servers. Change: the least coverage travels along, and a gatherer goes on past the objective until it is in; shards, limit and coverage are those of the asking router's version, and a router declines only what is no search there; second attempts wait until half of a search's answers are in; no more than a fifth of the objective is kept back; a starting router asks four more members for their lists in its first 3 s, and starts to as soon as the store is listed; a share of the warm-up goes through a second router. DelegationTest: declining other shards is no longer wanted; that parts are those of the asking version, and that shards without servers and routes that are no searches are declined, replace it.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/DelegatedSearch.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/DelegatedSearch.java
@@ -11,39 +11,31 @@
  * Parts of a search that one router hands to another, nearer to their servers.
  *
  * @param request as the caller sent it
- * @param version of the configuration by which it must be handled
- * @param shards of the parts
+ * @param version of the configuration of the router that hands it on
+ * @param parts what is searched by that version, whatever the other router's says
  * @param timeLeft how long the caller can be held
  * @param objectiveLeft how long an answer is in time; negative when it is late already
  */
 public record DelegatedSearch(
     ForwardedRequest request,
     long version,
-    ImmutableList<String> shards,
+    RouteTarget.AllShards parts,
     Duration timeLeft,
     Duration objectiveLeft) {
   public DelegatedSearch {
     requireNonNull(request, "request is null");
-    requireNonNull(shards, "shards is null");
+    requireNonNull(parts, "parts is null");
     requireNonNull(timeLeft, "timeLeft is null");
     requireNonNull(objectiveLeft, "objectiveLeft is null");
   }
 
-  /** Whether a route is a search of these shards and perhaps others. */
-  boolean isOf(Route route) {
-    return !shards.isEmpty()
-        && route.target() instanceof RouteTarget.AllShards all
-        && all.services().containsAll(shards);
+  /** The shards of the parts. */
+  public ImmutableList<String> shards() {
+    return parts.services();
   }
 
-  /** Whether a route is a search of just these shards, so that all parts are of one version. */
-  boolean isWhole(Route route) {
-    return route.target() instanceof RouteTarget.AllShards all && all.services().equals(shards);
-  }
-
-  /** The route with no other shards than these, any of which will do. */
+  /** The route with these parts. */
   Route narrow(Route route) {
-    int limit = ((RouteTarget.AllShards) route.target()).limit();
     return new Route(
         route.name(),
         route.host(),
@@ -53,6 +45,6 @@
         route.objective(),
         route.maximumAttempts(),
         route.priority(),
-        new RouteTarget.AllShards(shards, limit, 0));
+        parts);
   }
 }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
@@ -120,6 +120,11 @@
     return inProgress;
   }
 
+  /** Whether some routers gather searches for the others here. */
+  public boolean gathersSearches() {
+    return layout.gathersAny();
+  }
+
   /** Attempts that this router may have open at one server of a service. */
   public int connectionShare(String service) {
     return shares.share(service);
@@ -241,7 +246,7 @@
     Optional<Route> route =
         configuration.flatMap(
             known -> known.match(search.request().host(), search.request().target()));
-    Optional<String> refusal = reasonToDecline(search, route);
+    Optional<String> refusal = reasonToDecline(route);
     if (refusal.isPresent()) {
       sink.accept(new DelegateReply.Declined(refusal.get()));
       return () -> {};
@@ -256,13 +261,9 @@
         outcome -> sink.accept(toReply(outcome, arrivalNanos)));
   }
 
-  private Optional<String> reasonToDecline(DelegatedSearch search, Optional<Route> route) {
-    if (route.isEmpty() || !search.isOf(route.get())) {
-      return Optional.of("no search has this host, path and shards");
-    }
-    boolean sameVersion = configuration.orElseThrow().version() == search.version();
-    if (!sameVersion && !search.isWhole(route.get())) {
-      return Optional.of("another version of the configuration is in force");
+  private Optional<String> reasonToDecline(Optional<Route> route) {
+    if (route.isEmpty() || !(route.get().target() instanceof RouteTarget.AllShards)) {
+      return Optional.of("no search has this host and path");
     }
     return inProgress < options.maximumRequests()
         ? Optional.empty()
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/Hedging.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/Hedging.java
@@ -14,6 +14,15 @@
 
   private static final long SHORTEST_RECHECK_NANOS = 2_000_000;
 
+  /**
+   * With fewer than this part of a search's answers in, it is this router or the way to all servers
+   * that is late, and second attempts would make it later.
+   */
+  private static final double LEAST_ANSWERED = 0.5;
+
+  /** With fewer parts the others say nothing of one. */
+  private static final int FEWEST_PARTS_TO_COMPARE = 4;
+
   private final ForwardExecution execution;
   private final Route route;
   private final RouteState routeState;
@@ -71,6 +80,11 @@
   private void check() {
     long nowNanos = clock.nanoTime();
     long delay = routeState.hedgeDelayNanos(route);
+    long recheck = Math.max(delay / RECHECKS, SHORTEST_RECHECK_NANOS);
+    if (areAllLate()) {
+      scheduleCheck(nowNanos + recheck);
+      return;
+    }
     long next = Long.MAX_VALUE;
     for (PartProgress part : parts) {
       if (part.isSettled() || part.open().size() != 1) {
@@ -79,7 +93,6 @@
       long due = part.open().get(0).startNanos() + delay;
       if (due <= nowNanos) {
         boolean hedged = hedge(part, nowNanos);
-        long recheck = Math.max(delay / RECHECKS, SHORTEST_RECHECK_NANOS);
         due = hedged ? Long.MAX_VALUE : nowNanos + recheck;
       }
       next = Math.min(next, due);
@@ -89,6 +102,16 @@
     }
   }
 
+  private boolean areAllLate() {
+    int started = 0;
+    int answered = 0;
+    for (PartProgress part : parts) {
+      started += part.sent() > 0 ? 1 : 0;
+      answered += part.isAnswered() ? 1 : 0;
+    }
+    return started >= FEWEST_PARTS_TO_COMPARE && answered < LEAST_ANSWERED * started;
+  }
+
   private boolean hedge(PartProgress part, long nowNanos) {
     if (part.maybeRun() >= route.maximumAttempts()) {
       return part.denyHedge("no attempt left");
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/PartDelegator.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/PartDelegator.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import io.arrowarch.core.event.EventLog;
 import io.arrowarch.core.event.RouterEvent;
+import io.arrowarch.core.route.RouteTarget;
 import io.arrowarch.core.time.RouterClock;
 import io.arrowarch.core.time.TimerQueue;
 import java.time.Duration;
@@ -23,6 +24,9 @@
   /** The way is taken to cost this part of the objective at least. */
   private static final double LEAST_WAY = 0.03;
 
+  /** More than this part is not kept back for it: a delegate without time leaves all parts out. */
+  private static final double MOST_WAY = 0.2;
+
   private final RouterClock clock;
   private final TimerQueue timers;
   private final DelegateChooser chooser;
@@ -66,20 +70,33 @@
     groups.put(number, group);
     state.onSent(number, nowNanos);
     // The answer must be back before it is due here.
-    long least = (long) (LEAST_WAY * search.route().objective().toNanos());
-    long way = Math.max(least, (long) state.wayNanos(nowNanos));
+    long way = wayNanos(search, state, nowNanos);
     transport.send(
         number,
         choice.delegate(),
         new DelegatedSearch(
             search.request(),
             search.version(),
-            choice.shards(),
+            partsOf(search, choice),
             Duration.ofNanos(Math.max(1, times.giveUpNanos() - nowNanos - way)),
             Duration.ofNanos(times.objectiveNanos() - nowNanos - way)));
     return group;
   }
 
+  /** Of a group, the same part must be covered as of the whole. */
+  private static RouteTarget.AllShards partsOf(Search search, DelegateChooser.Choice choice) {
+    // Only searches are handed on.
+    RouteTarget.AllShards all = (RouteTarget.AllShards) search.route().target();
+    return new RouteTarget.AllShards(choice.shards(), all.limit(), all.minimumCoverage());
+  }
+
+  private static long wayNanos(Search search, DelegateState state, long nowNanos) {
+    long objectiveNanos = search.route().objective().toNanos();
+    long least = (long) (LEAST_WAY * objectiveNanos);
+    long most = (long) (MOST_WAY * objectiveNanos);
+    return Math.min(most, Math.max(least, (long) state.wayNanos(nowNanos)));
+  }
+
   /** Takes a delegate's reply. */
   void onReply(long number, DelegateReply reply) {
     Group group = groups.remove(number);
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/SearchLayout.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/SearchLayout.java
@@ -84,6 +84,11 @@
         && Math.round(WANTED_CONNECTIONS * routers.getAsInt() / used(service)) > 1;
   }
 
+  /** Whether any search of the configuration is gathered. */
+  boolean gathersAny() {
+    return groupOfShard.keySet().stream().anyMatch(this::isGathered);
+  }
+
   /** How many routers have enough connections to a shard's servers to gather it. */
   int gatherersAllowed(String shard) {
     return Math.max(FEWEST_GATHERERS, (int) (used(shard) / WANTED_CONNECTIONS));
--- a/arrowarch-core/src/main/java/io/arrowarch/core/membership/Membership.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/membership/Membership.java
@@ -40,6 +40,17 @@
   private static final int NEWS_FOR_JOINER = 64;
   private static final int DRAINS_PER_MESSAGE = 8;
 
+  /**
+   * When a router that has just started asks one more for the members that it knows, after its
+   * start. All may have started at once and know few at first.
+   */
+  private static final ImmutableList<Duration> JOIN_TIMES =
+      ImmutableList.of(
+          Duration.ofMillis(250),
+          Duration.ofMillis(700),
+          Duration.ofMillis(1_500),
+          Duration.ofMillis(3_000));
+
   /** One period in this many also pings an address that is not known to be alive. */
   private static final int PERIODS_PER_REJOIN_PING = 5;
 
@@ -89,10 +100,21 @@
 
   /** Pings every contact and starts the periods. */
   public void start() {
-    contactAddresses.forEach(address -> ping(address, () -> {}));
+    contactAddresses.forEach(this::askForMembers);
+    for (Duration time : JOIN_TIMES) {
+      timers.schedule(clock.nanoTime() + time.toNanos(), this::askAnyForMembers);
+    }
     schedulePeriod();
   }
 
+  private void askAnyForMembers() {
+    List<String> addresses = new ArrayList<>(contactAddresses);
+    reachable().forEach(member -> addresses.add(member.address()));
+    if (!addresses.isEmpty()) {
+      askForMembers(addresses.get(random.nextInt(addresses.size())));
+    }
+  }
+
   /** Adds addresses to try, for example from the platform's list. */
   public void addContacts(List<String> addresses) {
     contactAddresses.addAll(addresses);
@@ -156,8 +178,8 @@
   /** Handles a ping; a joiner or a member back from the dead is told of everyone. */
   public void onPing(MemberRecord sender, PeerBody.Ping ping, boolean wasKnown) {
     learnNews(ping.news());
-    int newsLimit = wasKnown ? NEWS_PER_MESSAGE : NEWS_FOR_JOINER;
-    PeerBody.News news = wasKnown ? news(newsLimit) : fullNews(newsLimit);
+    boolean joins = ping.joining() || !wasKnown;
+    PeerBody.News news = joins ? fullNews(NEWS_FOR_JOINER) : news(NEWS_PER_MESSAGE);
     send(sender.address(), new PeerBody.Ack(ping.number(), news));
   }
 
@@ -263,11 +285,19 @@
     }
   }
 
+  private void askForMembers(String address) {
+    ping(address, true, () -> {});
+  }
+
   private long ping(String address, Runnable onAck) {
+    return ping(address, false, onAck);
+  }
+
+  private long ping(String address, boolean joining, Runnable onAck) {
     long number = nextNumber++;
     ackHandlers.put(number, onAck);
     timers.schedule(clock.nanoTime() + 2 * PERIOD.toNanos(), () -> ackHandlers.remove(number));
-    send(address, new PeerBody.Ping(number, news(NEWS_PER_MESSAGE)));
+    send(address, new PeerBody.Ping(number, joining, news(NEWS_PER_MESSAGE)));
     return number;
   }
 
--- a/arrowarch-core/src/main/java/io/arrowarch/core/peer/PeerBody.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/peer/PeerBody.java
@@ -44,8 +44,12 @@
     }
   }
 
-  /** Asks whether a router is there. */
-  record Ping(long number, News news) implements PeerBody {}
+  /**
+   * Asks whether a router is there.
+   *
+   * @param joining whether the sender has just started and wants to be told of many members
+   */
+  record Ping(long number, boolean joining, News news) implements PeerBody {}
 
   /** Answers a ping, or passes on that the target of a {@link PingRequest} answered one. */
   record Ack(long number, News news) implements PeerBody {}
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/DelegationProperties.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/DelegationProperties.java
@@ -123,13 +123,13 @@
       }
     }
 
-    /** Every other one with another set of shards. */
+    /** In turn: another set of shards, no search at all, the first set again. */
     private void newerConfigurationFar() {
       versionFar++;
-      if (versionFar % 2 == 0) {
-        routers.cutFarIntoFewerShards(versionFar);
-      } else {
-        routers.routeFar(versionFar);
+      switch ((int) (versionFar % 3)) {
+        case 2 -> routers.cutFarIntoFewerShards(versionFar);
+        case 0 -> routers.routeFarToOneServer(versionFar);
+        default -> routers.routeFar(versionFar);
       }
     }
 
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/DelegationTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/DelegationTest.java
@@ -4,6 +4,8 @@
 
 import com.google.common.collect.ImmutableList;
 import io.arrowarch.core.error.Executed;
+import io.arrowarch.core.route.RouteTarget;
+import java.time.Duration;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -56,10 +58,23 @@
     assertThat(routers.near.merged(0).signatures()).hasSize(4);
   }
 
+  @Test
+  public void aGathererWithTooFewPartsGoesOnPastTheObjective() {
+    routers.near.submit();
+    routers.deliver(FIRST);
+    routers.far.sent.subList(0, 2).stream().toList().forEach(routers.far::answer);
+    routers.advance(ForwardFixture.OBJECTIVE);
+    assertThat(routers.replies).isEmpty();
+    routers.far.answer(routers.far.attempt(2));
+    routers.reply(FIRST);
+
+    assertThat(routers.near.merged(0).signatures()).hasSize(3);
+  }
+
   @Test
   public void whatIsDeclinedIsRunHere() {
     routers.near.submit();
-    routers.cutFarIntoFewerShards(2);
+    routers.routeFarToOneServer(2);
     routers.deliver(FIRST);
     routers.reply(FIRST);
 
@@ -70,12 +85,14 @@
   }
 
   @Test
-  public void aLaterVersionWithTheSameShardsIsNoReasonToDecline() {
+  public void theVersionOfTheRouterThatHandsOnDecidesWhichShardsAreSearched() {
     routers.near.submit();
-    routers.routeFar(2);
+    routers.cutFarIntoFewerShards(2);
     routers.deliver(FIRST);
 
-    assertThat(routers.far.sent).hasSize(6);
+    assertThat(routers.far.sent)
+        .extracting(attempt -> attempt.server().service())
+        .containsExactlyInAnyOrderElementsOf(RouterPair.SHARDS);
   }
 
   @Test
@@ -128,6 +145,20 @@
     assertThat(routers.underWay).doesNotContainKey(SECOND);
   }
 
+  @Test
+  public void aLongWayTakesNoMoreThanAFifthOfTheObjective() {
+    routers.near.submit();
+    routers.deliver(FIRST);
+    answerAll(routers.far);
+    routers.advance(ForwardFixture.OBJECTIVE.multipliedBy(2).dividedBy(5));
+    routers.reply(FIRST);
+    routers.advance(Duration.ofSeconds(8));
+    routers.near.submit();
+
+    assertThat(routers.underWay.get(SECOND).objectiveLeft())
+        .isGreaterThan(ForwardFixture.OBJECTIVE.multipliedBy(7).dividedBy(10));
+  }
+
   @Test
   public void aCallerThatLeavesStopsTheOtherRouter() {
     ForwardHandle handle = routers.near.submit();
@@ -147,19 +178,30 @@
   }
 
   @Test
-  public void aRouterDeclinesShardsThatAreNotOfTheSearch() {
+  public void aRouterDeclinesWhatIsNoSearchThereAndAsksNoServer() {
+    routers.near.submit();
+    routers.routeFarToOneServer(2);
+    routers.deliver(FIRST);
+
+    assertThat(routers.replies.get(FIRST)).isInstanceOf(DelegateReply.Declined.class);
+    assertThat(routers.far.sent).isEmpty();
+  }
+
+  @Test
+  public void aRouterDeclinesShardsWithoutServersAndAsksNone() {
     routers.near.submit();
     DelegatedSearch search = routers.underWay.get(FIRST);
     DelegatedSearch other =
         new DelegatedSearch(
             search.request(),
             search.version(),
-            ImmutableList.of("s"),
+            new RouteTarget.AllShards(ImmutableList.of("s"), 4, 1),
             search.timeLeft(),
             search.objectiveLeft());
     routers.far.coordinator.submitDelegated(other, reply -> routers.replies.put(FIRST, reply));
 
     assertThat(routers.replies.get(FIRST)).isInstanceOf(DelegateReply.Declined.class);
+    assertThat(routers.far.sent).isEmpty();
   }
 
   @Test
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/ForwardSearchTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/ForwardSearchTest.java
@@ -48,6 +48,18 @@
     assertThat(fixture.merged(0).missingParts()).isEqualTo(1);
   }
 
+  @Test
+  public void aSearchOfWhichHardlyAnythingIsInIsNotAskedTwice() {
+    fixture.submit();
+    fixture.answer(fixture.attempt(0));
+    fixture.advanceInSteps(ForwardFixture.OBJECTIVE.dividedBy(2));
+    assertThat(fixture.sent).hasSize(4);
+    fixture.answer(fixture.attempt(1));
+    fixture.advanceInSteps(ForwardFixture.OBJECTIVE.dividedBy(6));
+
+    assertThat(fixture.sent).hasSize(6);
+  }
+
   @Test
   public void pastTheObjectiveAnswersAsSoonAsTheLeastCoverageIsIn() {
     fixture.submit();
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/RouterPair.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/RouterPair.java
@@ -76,6 +76,11 @@
     far.route(version, true, SHARDS.subList(0, SHARDS.size() - 1).toArray(new String[0]));
   }
 
+  /** The second router knows a later version, in which the route is no search. */
+  void routeFarToOneServer(long version) {
+    far.route(version, true, "s");
+  }
+
   /** A third router beside the second. */
   void addDelegate() {
     nearby =
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/RouterPeersTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/RouterPeersTest.java
@@ -90,6 +90,18 @@
     assertThat(create("r5", List.of("r1"), 1_050_000).hasEstablished()).isFalse();
   }
 
+  @Test
+  public void manyRoutersThatStartTogetherKnowEachOtherSoon() {
+    for (int number = 1; number <= 60; number++) {
+      create("r" + number, List.of("r1", "r2", "r3"), number).start();
+    }
+    run(Duration.ofSeconds(2));
+
+    for (RouterPeers peers : routers.values()) {
+      assertThat(peers.nearby()).hasSizeGreaterThan(54);
+    }
+  }
+
   @Test
   public void everyRouterHearsOfTheNewestRevisionThatAnyHasSeen() {
     for (String id : List.of("r1", "r2", "r3", "r4", "r5", "r6", "r7", "r8")) {
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/DelegationCodec.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/DelegationCodec.java
@@ -12,6 +12,7 @@
 import io.arrowarch.core.forward.ForwardedRequest;
 import io.arrowarch.core.forward.HeaderField;
 import io.arrowarch.core.forward.Payload;
+import io.arrowarch.core.route.RouteTarget;
 import io.arrowarch.node.JsonFields;
 import io.vavr.control.Try;
 import java.io.ByteArrayOutputStream;
@@ -41,6 +42,8 @@
           json.writeNumberField("version", search.version());
           json.writeNumberField("timeLeft", micros(search.timeLeft()));
           json.writeNumberField("objectiveLeft", micros(search.objectiveLeft()));
+          json.writeNumberField("limit", search.parts().limit());
+          json.writeNumberField("minimumCoverage", search.parts().minimumCoverage());
           json.writeStringField("id", request.id());
           json.writeStringField("method", request.method());
           json.writeStringField("host", request.host());
@@ -76,7 +79,10 @@
           return new DelegatedSearch(
               request,
               fields.whole("version"),
-              fields.texts("shards"),
+              new RouteTarget.AllShards(
+                  fields.texts("shards"),
+                  Math.toIntExact(fields.whole("limit")),
+                  fields.number("minimumCoverage")),
               duration(fields.whole("timeLeft")),
               duration(fields.whole("objectiveLeft")));
         });
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardWarmUp.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardWarmUp.java
@@ -44,7 +44,7 @@
  * all on the loopback address.
  */
 final class ForwardWarmUp {
-  private static final String LOOPBACK = "127.0.0.1";
+  static final String LOOPBACK = "127.0.0.1";
   private static final String HOST = "warm-up";
   private static final int SHARDS = 20;
   private static final int SEARCHES = 80;
@@ -63,14 +63,17 @@
   private final FeedCodec feedCodec;
   private final WarmUpCodec codec;
   private final BooleanSupplier needless;
+  private final BooleanSupplier gathered;
   private final TimerQueue timers = new TimerQueue();
   private final ForwardingRouter router;
   private final CallerServer callers;
+  private final WarmUpOrigin origin;
   private final HttpServer backend;
   private final HttpClient client;
   private final long endNanos = System.nanoTime() + LONGEST.toNanos();
   private final Promise<Integer> ended = Promise.promise();
   private SocketAddressSetting address;
+  private SocketAddressSetting originAddress;
   private int sent;
   private int answered;
 
@@ -78,6 +81,7 @@
    * Prepares a warm-up.
    *
    * @param needless says that callers' requests warm the process themselves and must not wait
+   * @param gathered whether routers of this fleet hand searches to each other
    */
   ForwardWarmUp(
       Vertx vertx,
@@ -87,16 +91,18 @@
       AttemptCodec attemptCodec,
       FeedCodec feedCodec,
       WarmUpCodec codec,
-      BooleanSupplier needless) {
+      BooleanSupplier needless,
+      BooleanSupplier gathered) {
     this.feedCodec = feedCodec;
     this.needless = needless;
+    this.gathered = gathered;
     this.codec = codec;
     EventLoopDriver driver =
         new EventLoopDriver(
             vertx, context, () -> timers.runDue(System.nanoTime()), timers::nextDueNanos);
+    ServerConnections connections = new ServerConnections(vertx);
     ServerClient servers =
-        new ServerClient(
-            driver, () -> router().coordinator(), attemptCodec, new ServerConnections(vertx));
+        new ServerClient(driver, () -> router().coordinator(), attemptCodec, connections);
     this.router =
         new ForwardingRouter(
             options,
@@ -108,6 +114,9 @@
             EventLog.NONE,
             RouterGroup.ofCount(1));
     this.callers = new CallerServer(vertx, driver, router, callerCodec, new ForwardMetrics());
+    this.origin =
+        new WarmUpOrigin(
+            vertx, context, options, callerCodec, attemptCodec, connections, router, driver, HOST);
     this.backend =
         vertx
             .createHttpServer(
@@ -130,12 +139,18 @@
         .listen()
         .compose(
             bound -> {
-              configure(bound.actualPort());
+              configure(router, bound.actualPort());
+              configure(origin.router(), bound.actualPort());
               return callers.listen(new SocketAddressSetting(LOOPBACK, 0));
             })
         .compose(
             bound -> {
               address = bound;
+              return origin.listen();
+            })
+        .compose(
+            bound -> {
+              originAddress = bound;
               IntStream.range(0, AT_ONCE).forEach(lane -> search());
               return ended.future();
             })
@@ -147,7 +162,7 @@
     return router;
   }
 
-  private void configure(int port) {
+  private static void configure(ForwardingRouter router, int port) {
     ImmutableList<String> shards =
         IntStream.range(0, SHARDS)
             .mapToObj(shard -> "shard-" + shard)
@@ -195,12 +210,14 @@
       return;
     }
     sent++;
+    boolean handOn = gathered.getAsBoolean() && sent % 2 == 0;
+    SocketAddressSetting target = handOn ? originAddress : address;
     client
         .request(
             new RequestOptions()
                 .setMethod(HttpMethod.GET)
-                .setHost(address.host())
-                .setPort(address.port())
+                .setHost(target.host())
+                .setPort(target.port())
                 .setURI("/search?n=" + sent))
         .compose(this::send)
         .compose(HttpClientResponse::body)
@@ -228,11 +245,12 @@
     return client
         .close()
         .eventually(callers::close)
+        .eventually(origin::close)
         .eventually(() -> backend.shutdown(LAST_CLOSE.toMillis(), TimeUnit.MILLISECONDS));
   }
 
   /** A store that never answers. */
-  private static final class SilentFeed implements FeedTransport {
+  static final class SilentFeed implements FeedTransport {
     @Override
     public void list(long call, Optional<String> afterKey, Duration timeout) {}
 
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
@@ -84,7 +84,6 @@
   private final Promise<Integer> warm = Promise.promise();
   private boolean wasReady;
   private boolean logOpens;
-  private boolean peersStarted;
 
   /** When the warm-up began, which is when the store was listed; 0 before. */
   private long listedNanos;
@@ -240,12 +239,13 @@
   /** Callers that are there already warm the process up themselves, and must not wait. */
   private void warmUp() {
     listedNanos = System.nanoTime();
+    // Others may be needed for the first searches already.
+    driver.run(peers::start);
     boolean wanted = settings.options().has(Mechanism.WARM_UP);
     if (!wanted || callers.connectionCount() > 0) {
       onWarm(0);
       return;
     }
-    startPeers();
     new ForwardWarmUp(
             vertx,
             context,
@@ -254,7 +254,8 @@
             attemptCodec,
             feedCodec,
             warmUpCodec,
-            () -> callers.connectionCount() > 0)
+            () -> callers.connectionCount() > 0,
+            () -> router.coordinator().gathersSearches())
         .run()
         .onSuccess(this::onWarm);
   }
@@ -287,20 +288,10 @@
         FIRST_WORK_POLL,
         LATEST_SECOND_WORK.plusMillis(random.nextLong(SECOND_WORK_SPREAD.toMillis())),
         () -> compiled,
-        () -> {
-          startPeers();
-          openLog();
-        });
+        this::openLog);
     warm.complete(searches);
   }
 
-  private void startPeers() {
-    if (!peersStarted) {
-      peersStarted = true;
-      driver.run(peers::start);
-    }
-  }
-
   private void openLog() {
     if (logOpens) {
       return;
--- a/arrowarch-node/src/test/java/io/arrowarch/node/forward/DelegateClientTest.java
+++ b/arrowarch-node/src/test/java/io/arrowarch/node/forward/DelegateClientTest.java
@@ -17,6 +17,7 @@
 import io.arrowarch.core.forward.RouterGroup;
 import io.arrowarch.core.forward.ServerAttempt;
 import io.arrowarch.core.forward.ServerTransport;
+import io.arrowarch.core.route.RouteTarget;
 import io.arrowarch.core.server.ServerDirectory;
 import io.arrowarch.core.time.TimerQueue;
 import io.arrowarch.node.EventLoopDriver;
@@ -45,7 +46,7 @@
           new ForwardedRequest(
               "id", Optional.of(TIME_LEFT), "GET", "h", "/", ImmutableList.of(), Payload.EMPTY),
           1,
-          ImmutableList.of("s"),
+          new RouteTarget.AllShards(ImmutableList.of("s"), 4, 0.5),
           TIME_LEFT,
           TIME_LEFT);
 
--- a/arrowarch-node/src/test/java/io/arrowarch/node/forward/DelegationCodecTest.java
+++ b/arrowarch-node/src/test/java/io/arrowarch/node/forward/DelegationCodecTest.java
@@ -13,6 +13,7 @@
 import io.arrowarch.core.forward.ForwardedRequest;
 import io.arrowarch.core.forward.HeaderField;
 import io.arrowarch.core.forward.Payload;
+import io.arrowarch.core.route.RouteTarget;
 import java.time.Duration;
 import java.util.Optional;
 import org.testng.annotations.DataProvider;
@@ -31,7 +32,7 @@
               ImmutableList.of(new HeaderField("Accept", "a, b"), new HeaderField("Accept", "")),
               Payload.of(new byte[] {0, -1, 7})),
           17,
-          ImmutableList.of("s1", "s2"),
+          new RouteTarget.AllShards(ImmutableList.of("s1", "s2"), 4, 0.5),
           TIME_LEFT,
           Duration.ofMillis(-5));
 
