--- a/arrowarch-node/src/main/java/io/arrowarch/node/OpenConnections.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/OpenConnections.java
@@ -1,30 +1,40 @@
 package io.arrowarch.node;
 
 import io.vertx.core.http.HttpConnection;
-import java.util.HashMap;
-import java.util.Map;
+import java.util.function.LongSupplier;
 
 /**
- * The connections of callers, with when each was last used. A stopping router closes its port only
- * when every connection is gone or has been quiet: a request may be on its way on any other.
+ * The connections of callers, with when any was last used. A stopping router closes its port only
+ * when all have been quiet: a request may be on its way on an open one, and a caller whose
+ * connection was just closed with an answer may be opening the next.
  */
 final class OpenConnections {
-  private final Map<HttpConnection, Long> lastUsedNanos = new HashMap<>();
+  private final LongSupplier nanoTime;
+  private long lastUsedNanos;
+
+  /**
+   * Follows no connection yet.
+   *
+   * @param nanoTime a monotonic clock in nanoseconds
+   */
+  OpenConnections(LongSupplier nanoTime) {
+    this.nanoTime = nanoTime;
+    this.lastUsedNanos = nanoTime.getAsLong();
+  }
 
   /** Starts to follow a connection; must be called on the event loop that serves it. */
   void onOpened(HttpConnection connection) {
-    onUsed(connection);
-    connection.closeHandler(closed -> lastUsedNanos.remove(connection));
+    onUsed();
+    connection.closeHandler(closed -> onUsed());
   }
 
   /** Notes a request on a connection. */
-  void onUsed(HttpConnection connection) {
-    lastUsedNanos.put(connection, System.nanoTime());
+  void onUsed() {
+    lastUsedNanos = nanoTime.getAsLong();
   }
 
-  /** Whether no connection was opened or used within this time. */
+  /** Whether no connection was opened, used or closed within this time. */
   boolean areQuietFor(long quietNanos) {
-    long nowNanos = System.nanoTime();
-    return lastUsedNanos.values().stream().allMatch(used -> nowNanos - used >= quietNanos);
+    return nanoTime.getAsLong() - lastUsedNanos >= quietNanos;
   }
 }
--- a/arrowarch-node/src/main/java/io/arrowarch/node/RouterNode.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/RouterNode.java
@@ -42,7 +42,7 @@
   private PeerEndpoint peers;
   private CallerApi callerApi;
   private OperatorApi operatorApi;
-  private final OpenConnections callerConnections = new OpenConnections();
+  private final OpenConnections callerConnections = new OpenConnections(System::nanoTime);
   private HttpServer callerServer;
   private SocketAddressSetting callerAddress;
   private SocketAddressSetting peerAddress;
@@ -201,7 +201,7 @@
         .connectionHandler(callerConnections::onOpened)
         .requestHandler(
             request -> {
-              callerConnections.onUsed(request.connection());
+              callerConnections.onUsed();
               router.handle(request);
             })
         .listen()
