Second attempts and two connections from the first second on; nothing is sent that cannot end in time

A cold origin took 40 ms to hand a search on. Ruled out: slow servers (large routers answered in 106 ms from their first search on, small ones in 370 to 700). Change: a process spends 0.3 of its share in its first window and 0.7 later (AttemptBudgetsTest: two lives of all stay within the allowance); a gatherer has two connections to a server at least; the made-up searches go through a second router once the fleet is known to be so large; no attempt starts with under 3 ms left, and one whose connection came too late is not written.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/AttemptBudgets.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/AttemptBudgets.java
@@ -6,6 +6,12 @@
 
 /** The budgets of extra attempts, one for each service. */
 final class AttemptBudgets {
+  /**
+   * The part of its share that a router may spend in its first window; it keeps as much back later,
+   * so that two lives within one window do not spend more than the share.
+   */
+  private static final double YOUNG_PART = 0.3;
+
   private ExtraAttemptRules rules;
   private final ToDoubleFunction<String> allowancePart;
   private final long startNanos;
@@ -47,12 +53,11 @@
     return of(service).left(share(service, nowNanos), nowNanos);
   }
 
-  /** Nothing within the first window: this router's last life may have spent its share. */
+  /** Within the first window this router's last life may have spent its share. */
   private double share(String service, long nowNanos) {
-    if (nowNanos - startNanos < rules.window().toNanos()) {
-      return 0;
-    }
-    return rules.allowance() * allowancePart.applyAsDouble(service);
+    boolean young = nowNanos - startNanos < rules.window().toNanos();
+    double part = young ? YOUNG_PART : 1 - YOUNG_PART;
+    return part * rules.allowance() * allowancePart.applyAsDouble(service);
   }
 
   private ServiceBudget of(String service) {
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ConnectionShares.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ConnectionShares.java
@@ -1,5 +1,6 @@
 package io.arrowarch.core.forward;
 
+import java.util.OptionalInt;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
 
@@ -8,6 +9,9 @@
   /** A router that has just started takes half: servers may hold connections of its last life. */
   private static final int YOUNG_DIVISOR = 2;
 
+  /** With one connection to a server, searches that overlap would wait for each other. */
+  private static final int FEWEST_OF_GATHERER = 2;
+
   /** More attempts at one server would only wait there. */
   private static final int MAXIMUM_OPEN = 8;
 
@@ -35,16 +39,15 @@
 
   /** Attempts that this router may have open at one server of a service. */
   int share(String service) {
-    double share = layout.used(service) / connectionSharers(service);
+    OptionalInt gathering =
+        layout.isGathered(service) ? gatherers.sharing(service) : OptionalInt.empty();
+    int sharers = gathering.orElse(Math.max(1, routers.getAsInt()));
+    double share = layout.used(service) / sharers;
     if (young.getAsBoolean()) {
       share /= YOUNG_DIVISOR;
     }
-    return Math.max(1, Math.min(MAXIMUM_OPEN, (int) share));
-  }
-
-  private int connectionSharers(String service) {
-    int all = Math.max(1, routers.getAsInt());
-    return layout.isGathered(service) ? gatherers.sharing(service).orElse(all) : all;
+    int fewest = gathering.isPresent() ? FEWEST_OF_GATHERER : 1;
+    return Math.max(fewest, Math.min(MAXIMUM_OPEN, (int) share));
   }
 
   /**
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
@@ -23,6 +23,9 @@
 final class ForwardExecution {
   private static final double NANOS_PER_MILLI = 1e6;
 
+  /** With less time than this left no server can answer: the way there and back takes as long. */
+  private static final long LEAST_TIME_NANOS = 3_000_000;
+
   private final ForwardedRequest request;
   private final Route route;
   private final RouteState routeState;
@@ -244,6 +247,10 @@
   }
 
   private void startPart(PartProgress part) {
+    if (times.attemptDeadlineNanos() - clock.nanoTime() < LEAST_TIME_NANOS) {
+      lose(part);
+      return;
+    }
     Optional<ServerState> server = sender.choose(part, pace());
     if (server.isPresent()) {
       AttemptPurpose purpose = part.sent() == 0 ? AttemptPurpose.FIRST : AttemptPurpose.RETRY;
--- /dev/null
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/AttemptBudgetsTest.java
@@ -0,0 +1,50 @@
+package io.arrowarch.core.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import org.testng.annotations.Test;
+
+/** What routers may spend on extra attempts, also when all of them have just started anew. */
+public final class AttemptBudgetsTest {
+  private static final ExtraAttemptRules RULES =
+      new ExtraAttemptRules(0.2, 230, Duration.ofSeconds(10));
+  private static final int ROUTERS = 10;
+  private static final long LATER_NANOS = Duration.ofSeconds(20).toNanos();
+
+  @Test
+  public void aRouterThatHasJustStartedMaySpendALittle() {
+    assertThat(spendAll(new AttemptBudgets(RULES, service -> 0.1, 0), 0)).isBetween(3, 8);
+  }
+
+  @Test
+  public void twoLivesOfAllRoutersStayWithinTheAllowanceOfOneWindow() {
+    int spent = 0;
+    for (int router = 0; router < ROUTERS; router++) {
+      AttemptBudgets lastLife = new AttemptBudgets(RULES, service -> 1.0 / ROUTERS, 0);
+      spent += spendAll(lastLife, LATER_NANOS);
+      AttemptBudgets life = new AttemptBudgets(RULES, service -> 1.0 / ROUTERS, LATER_NANOS);
+      spent += spendAll(life, LATER_NANOS);
+    }
+
+    assertThat((double) spent).isLessThanOrEqualTo(RULES.allowance()).isGreaterThan(150);
+  }
+
+  @Test
+  public void aRouterWithoutPartOfTheAllowanceHasTheRatioOfItsRequestsOnly() {
+    AttemptBudgets budgets = new AttemptBudgets(RULES, service -> 0, 0);
+    for (int request = 0; request < 100; request++) {
+      budgets.onRequest("s", LATER_NANOS);
+    }
+
+    assertThat(spendAll(budgets, LATER_NANOS)).isBetween(15, 20);
+  }
+
+  private static int spendAll(AttemptBudgets budgets, long nowNanos) {
+    int spent = 0;
+    while (budgets.tryRetry("s", nowNanos)) {
+      spent++;
+    }
+    return spent;
+  }
+}
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/ForwardSearchTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/ForwardSearchTest.java
@@ -60,6 +60,16 @@
     assertThat(fixture.sent).hasSize(6);
   }
 
+  @Test
+  public void noAttemptIsSentThatCouldNotEndInTime() {
+    fixture.submit();
+    // Servers of a search stop at two objectives.
+    fixture.advanceInSteps(ForwardFixture.OBJECTIVE.multipliedBy(2).minusMillis(2));
+    fixture.fail(fixture.attempt(0), ServerFailure.UNREACHABLE);
+
+    assertThat(fixture.sent).hasSize(4);
+  }
+
   @Test
   public void pastTheObjectiveAnswersAsSoonAsTheLeastCoverageIsIn() {
     fixture.submit();
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardWarmUp.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardWarmUp.java
@@ -48,6 +48,10 @@
   private static final String HOST = "warm-up";
   private static final int SHARDS = 20;
   private static final int SEARCHES = 80;
+
+  /** Beside what the other searches warm there is little left to do for one that is handed on. */
+  private static final int SEARCHES_HANDED_ON = 30;
+
   private static final int AT_ONCE = 4;
   private static final int LISTINGS = 3;
   private static final int OK = 200;
@@ -63,7 +67,7 @@
   private final FeedCodec feedCodec;
   private final WarmUpCodec codec;
   private final BooleanSupplier needless;
-  private final BooleanSupplier gathered;
+  private final boolean handOn;
   private final TimerQueue timers = new TimerQueue();
   private final ForwardingRouter router;
   private final CallerServer callers;
@@ -73,7 +77,6 @@
   private final long endNanos = System.nanoTime() + LONGEST.toNanos();
   private final Promise<Integer> ended = Promise.promise();
   private SocketAddressSetting address;
-  private SocketAddressSetting originAddress;
   private int sent;
   private int answered;
 
@@ -81,7 +84,8 @@
    * Prepares a warm-up.
    *
    * @param needless says that callers' requests warm the process themselves and must not wait
-   * @param gathered whether routers of this fleet hand searches to each other
+   * @param handOn whether searches go through a further router, as in fleets where some routers
+   *     gather for the others
    */
   ForwardWarmUp(
       Vertx vertx,
@@ -92,10 +96,10 @@
       FeedCodec feedCodec,
       WarmUpCodec codec,
       BooleanSupplier needless,
-      BooleanSupplier gathered) {
+      boolean handOn) {
     this.feedCodec = feedCodec;
     this.needless = needless;
-    this.gathered = gathered;
+    this.handOn = handOn;
     this.codec = codec;
     EventLoopDriver driver =
         new EventLoopDriver(
@@ -146,11 +150,11 @@
         .compose(
             bound -> {
               address = bound;
-              return origin.listen();
+              return handOn ? origin.listen() : Future.succeededFuture(bound);
             })
         .compose(
             bound -> {
-              originAddress = bound;
+              address = bound;
               IntStream.range(0, AT_ONCE).forEach(lane -> search());
               return ended.future();
             })
@@ -202,7 +206,8 @@
   }
 
   private void search() {
-    boolean enough = sent >= SEARCHES || System.nanoTime() >= endNanos;
+    boolean enough =
+        sent >= (handOn ? SEARCHES_HANDED_ON : SEARCHES) || System.nanoTime() >= endNanos;
     if (enough || needless.getAsBoolean()) {
       if (answered == sent) {
         ended.tryComplete(answered);
@@ -210,14 +215,12 @@
       return;
     }
     sent++;
-    boolean handOn = gathered.getAsBoolean() && sent % 2 == 0;
-    SocketAddressSetting target = handOn ? originAddress : address;
     client
         .request(
             new RequestOptions()
                 .setMethod(HttpMethod.GET)
-                .setHost(target.host())
-                .setPort(target.port())
+                .setHost(address.host())
+                .setPort(address.port())
                 .setURI("/search?n=" + sent))
         .compose(this::send)
         .compose(HttpClientResponse::body)
@@ -245,7 +248,7 @@
     return client
         .close()
         .eventually(callers::close)
-        .eventually(origin::close)
+        .eventually(() -> handOn ? origin.close() : Future.succeededFuture())
         .eventually(() -> backend.shutdown(LAST_CLOSE.toMillis(), TimeUnit.MILLISECONDS));
   }
 
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
@@ -34,6 +34,11 @@
   private static final Duration FIRST_WORK_POLL = Duration.ofMillis(10);
 
   /** A process that cannot read the store warms up meanwhile. */
+  private static final Duration FLEET_POLL = Duration.ofMillis(200);
+
+  /** Members find each other within a few seconds, and the first configuration comes by then. */
+  private static final Duration LONGEST_WAIT_FOR_FLEET = Duration.ofSeconds(15);
+
   private static final Duration LATEST_WARM_UP = Duration.ofSeconds(1);
 
   /** Routers that were there before answer the first message within this. */
@@ -246,7 +251,11 @@
       onWarm(0);
       return;
     }
-    new ForwardWarmUp(
+    runWarmUp(false).onSuccess(this::onWarm).onSuccess(searches -> awaitGathering());
+  }
+
+  private Future<Integer> runWarmUp(boolean handOn) {
+    return new ForwardWarmUp(
             vertx,
             context,
             settings.options(),
@@ -255,9 +264,26 @@
             feedCodec,
             warmUpCodec,
             () -> callers.connectionCount() > 0,
-            () -> router.coordinator().gathersSearches())
-        .run()
-        .onSuccess(this::onWarm);
+            handOn)
+        .run();
+  }
+
+  /** Handing searches on is warmed up too once the fleet is known to be so large. */
+  private void awaitGathering() {
+    long endNanos = System.nanoTime() + LONGEST_WAIT_FOR_FLEET.toNanos();
+    vertx.setPeriodic(
+        FLEET_POLL.toMillis(),
+        id -> {
+          boolean late = callers.connectionCount() > 0 || System.nanoTime() > endNanos;
+          boolean gathers = router.coordinator().gathersSearches();
+          if (late || gathers) {
+            vertx.cancelTimer(id);
+          }
+          if (gathers && !late) {
+            runWarmUp(true)
+                .onSuccess(searches -> logProcess("warm", searches + " searches handed on"));
+          }
+        });
   }
 
   /** Runs a task once a condition holds, or some time after the start in any case. */
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ServerClient.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ServerClient.java
@@ -24,6 +24,7 @@
  * makes the server stop; so does anything in its answer that does not belong there.
  */
 final class ServerClient implements ServerTransport {
+  /** A server takes whole milliseconds; with less it would stop at once. */
   private static final Duration SHORTEST_DEADLINE = Duration.ofMillis(1);
 
   private final EventLoopDriver driver;
@@ -112,8 +113,13 @@
         connection.close();
         return;
       }
-      long leftNanos = attempt.deadlineNanos() - System.nanoTime();
-      Duration left = Duration.ofNanos(Math.max(SHORTEST_DEADLINE.toNanos(), leftNanos));
+      Duration left = Duration.ofNanos(attempt.deadlineNanos() - System.nanoTime());
+      if (left.compareTo(SHORTEST_DEADLINE) < 0) {
+        // The router or the connection was late: the server could only throw the request away.
+        request.reset();
+        fail(ServerFailure.NOT_WRITTEN);
+        return;
+      }
       codec.encode(attempt, left, request.headers());
       Payload body = attempt.request().body();
       (body.length() == 0 ? request.send() : request.send(Buffer.buffer(body.bytes())))
