--- a/arrowarch-cli/src/main/java/io/arrowarch/cli/ForwardCommand.java
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/ForwardCommand.java
@@ -43,7 +43,7 @@
             new PlatformWarmUp(),
             new JsonEventLog(document.id(), Logging::configureEvents));
     if (untilWarm) {
-      node.whenWarm()
+      node.whenAllIsLoaded()
           .onSuccess(searches -> new Thread(() -> System.exit(ExitCode.OK.code()), "exit").start());
     }
     SettingsWatcher.start(settingsFile, () -> reload(node));
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/PartDelegator.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/PartDelegator.java
@@ -21,17 +21,12 @@
   /** A delegate answers by the attempts' deadline; one that does not within this is silent. */
   private static final Duration SILENCE_SLACK = Duration.ofMillis(60);
 
-  /** The way is taken to cost this part of the objective at least. */
-  private static final double LEAST_WAY = 0.03;
-
-  /** More than this part is not kept back for it: a delegate without time leaves all parts out. */
-  private static final double MOST_WAY = 0.2;
-
   private final RouterClock clock;
   private final TimerQueue timers;
   private final DelegateChooser chooser;
   private final DelegateTransport transport;
   private final EventLog events;
+  private final WayEstimate way = new WayEstimate();
   private final Map<Long, Group> groups = new HashMap<>();
   private long nextNumber = 1;
 
@@ -70,7 +65,7 @@
     groups.put(number, group);
     state.onSent(number, nowNanos);
     // The answer must be back before it is due here.
-    long way = wayNanos(search, state, nowNanos);
+    long kept = way.nanos(search.route().objective());
     transport.send(
         number,
         choice.delegate(),
@@ -78,8 +73,8 @@
             search.request(),
             search.version(),
             partsOf(search, choice),
-            Duration.ofNanos(Math.max(1, times.giveUpNanos() - nowNanos - way)),
-            Duration.ofNanos(times.objectiveNanos() - nowNanos - way)));
+            Duration.ofNanos(Math.max(1, times.giveUpNanos() - nowNanos - kept)),
+            Duration.ofNanos(times.objectiveNanos() - nowNanos - kept)));
     return group;
   }
 
@@ -90,13 +85,6 @@
     return new RouteTarget.AllShards(choice.shards(), all.limit(), all.minimumCoverage());
   }
 
-  private static long wayNanos(Search search, DelegateState state, long nowNanos) {
-    long objectiveNanos = search.route().objective().toNanos();
-    long least = (long) (LEAST_WAY * objectiveNanos);
-    long most = (long) (MOST_WAY * objectiveNanos);
-    return Math.min(most, Math.max(least, (long) state.wayNanos(nowNanos)));
-  }
-
   /** Takes a delegate's reply. */
   void onReply(long number, DelegateReply reply) {
     Group group = groups.remove(number);
@@ -106,8 +94,9 @@
     group.end();
     long nowNanos = clock.nanoTime();
     if (reply instanceof DelegateReply.Answered answered) {
-      long way = Math.max(0, nowNanos - group.startNanos - answered.took().toNanos());
-      group.state.onAnswered(way, answered.inProgress(), nowNanos);
+      long cost = Math.max(0, nowNanos - group.startNanos - answered.took().toNanos());
+      way.record(cost);
+      group.state.onAnswered(cost, answered.inProgress(), nowNanos);
       log(group, "answered", "", answered.answer().missingParts());
       group.listener.onAnswered(group, answered.answer());
     } else if (reply instanceof DelegateReply.Declined declined) {
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/RouterPeers.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/RouterPeers.java
@@ -98,6 +98,11 @@
     membership.leave();
   }
 
+  /** Sends a message to itself, so that what messages need is loaded. */
+  public void rehearse() {
+    membership.rehearse();
+  }
+
   /** Tells the others that a server is leaving. */
   public void tellDrain(String serverId) {
     membership.tellDrain(new DrainMark(serverId, serverId));
--- a/arrowarch-core/src/main/java/io/arrowarch/core/membership/Membership.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/membership/Membership.java
@@ -118,6 +118,11 @@
     }
   }
 
+  /** Pings itself, so that what messages need is loaded. */
+  public void rehearse() {
+    askForMembers(self.address());
+  }
+
   /** Adds addresses to try, for example from the platform's list. */
   public void addContacts(List<String> addresses) {
     contactAddresses.addAll(addresses);
--- /dev/null
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/WayEstimateTest.java
@@ -0,0 +1,43 @@
+package io.arrowarch.core.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import org.testng.annotations.Test;
+
+/** What a router keeps back of the objective for handing a search on. */
+public final class WayEstimateTest {
+  private static final Duration OBJECTIVE = Duration.ofMillis(100);
+
+  private final WayEstimate unmeasured = new WayEstimate();
+
+  @Test
+  public void aColdRouterKeepsAFifth() {
+    assertThat(unmeasured.nanos(OBJECTIVE)).isEqualTo(millis(20));
+  }
+
+  @Test
+  public void theLongerOfTheLastTwoCounts() {
+    assertThat(estimate(30).nanos(OBJECTIVE)).isEqualTo(millis(30));
+    assertThat(estimate(30, 8).nanos(OBJECTIVE)).isEqualTo(millis(30));
+    assertThat(estimate(30, 8, 9).nanos(OBJECTIVE)).isEqualTo(millis(9));
+  }
+
+  @Test
+  public void itStaysWithinBounds() {
+    assertThat(estimate(90).nanos(OBJECTIVE)).isEqualTo(millis(40));
+    assertThat(estimate(0).nanos(OBJECTIVE)).isEqualTo(millis(3));
+  }
+
+  private static WayEstimate estimate(long... ways) {
+    WayEstimate estimate = new WayEstimate();
+    for (long way : ways) {
+      estimate.record(millis(way));
+    }
+    return estimate;
+  }
+
+  private static long millis(long millis) {
+    return Duration.ofMillis(millis).toNanos();
+  }
+}
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
@@ -182,6 +182,23 @@
     return warm.future();
   }
 
+  /**
+   * Completes when also what a router of a large fleet needs has been run once: handing searches
+   * on, and messages between routers. For making an archive of classes.
+   */
+  public Future<Integer> whenAllIsLoaded() {
+    Promise<Integer> loaded = Promise.promise();
+    whenWarm()
+        .onSuccess(
+            searches ->
+                context.runOnContext(
+                    ignored -> {
+                      peers.rehearse();
+                      runWarmUp(true).onComplete(loaded);
+                    }));
+    return loaded.future();
+  }
+
   /** For operators and tests: what is known of a server; empty when it is not known. */
   public String describesServer(String serverId) {
     return router
