--- a/arrowarch-cli/src/main/java/io/arrowarch/cli/Arrowarch.java
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/Arrowarch.java
@@ -18,6 +18,7 @@
                 "query", new QueryCommand(),
                 "status", new StatusCommand(),
                 "trace", new TraceCommand(),
+                "losses", new LossesCommand(),
                 "explain", new ExplainCommand()));
     System.exit(commandLine.run(arguments, System.out, System.err).code());
   }
--- a/arrowarch-cli/src/main/java/io/arrowarch/cli/TraceCommand.java
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/TraceCommand.java
@@ -3,21 +3,13 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.google.common.io.Files;
-import io.arrowarch.core.wire.WireCodec;
-import java.io.File;
-import java.io.IOException;
 import java.io.PrintStream;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.time.Instant;
-import java.time.format.DateTimeParseException;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -34,70 +26,26 @@
   @Parameter(description = "REQUEST-ID FILE...", required = true)
   private List<String> arguments = new ArrayList<>();
 
-  /** One line of a log. */
-  private record Line(Instant time, String node, String event, JsonNode detail) {
-    boolean isOf(String requestId) {
-      return detail.path("requestId").asText().equals(requestId);
-    }
-  }
-
   @Override
   public ExitCode run(PrintStream out, PrintStream err) throws CommandException {
     if (arguments.size() < ID_AND_FILE) {
       throw new CommandException("trace needs a request id and at least one file");
     }
     String requestId = arguments.get(0);
-    List<Line> lines = new ArrayList<>();
-    for (String file : arguments.subList(1, arguments.size())) {
-      lines.addAll(read(new File(file)));
-    }
-    List<Line> own = lines.stream().filter(line -> line.isOf(requestId)).toList();
+    List<LogLine> lines = LogLine.readAll(arguments.subList(1, arguments.size()));
+    List<LogLine> own = lines.stream().filter(line -> line.isOf(requestId)).toList();
     if (own.isEmpty()) {
       err.println("no line of request " + requestId + " in " + lines.size() + " lines");
       return ExitCode.FAULTS;
     }
     lines.stream()
         .filter(line -> own.contains(line) || isAround(line, own))
-        .sorted(Comparator.comparing(Line::time))
+        .sorted(Comparator.comparing(LogLine::time))
         .forEach(line -> out.println(sentence(line)));
     return ExitCode.OK;
   }
 
-  private static List<Line> read(File file) throws CommandException {
-    try {
-      return Files.asCharSource(file, StandardCharsets.UTF_8).readLines().stream()
-          .flatMap(text -> parse(text).stream())
-          .toList();
-    } catch (IOException e) {
-      throw new CommandException("cannot read " + file + ": " + e.getMessage(), e);
-    }
-  }
-
-  /** A line may have a prefix that whoever collected it has written; other lines are skipped. */
-  private static Optional<Line> parse(String text) {
-    int start = text.indexOf('{');
-    if (start < 0) {
-      return Optional.empty();
-    }
-    return WireCodec.decodeTree(text.substring(start).getBytes(StandardCharsets.UTF_8))
-        .toJavaOptional()
-        .flatMap(TraceCommand::line);
-  }
-
-  private static Optional<Line> line(JsonNode tree) {
-    try {
-      return Optional.of(
-          new Line(
-              Instant.parse(tree.path("time").asText()),
-              tree.path("node").asText(),
-              tree.path("event").asText(),
-              tree.path("detail")));
-    } catch (DateTimeParseException e) {
-      return Optional.empty();
-    }
-  }
-
-  private static boolean isAround(Line line, List<Line> own) {
+  private static boolean isAround(LogLine line, List<LogLine> own) {
     boolean near =
         own.stream()
             .anyMatch(
@@ -113,9 +61,9 @@
   }
 
   /** Servers that the request was sent to or waited for. */
-  private static Set<String> serversOf(List<Line> own) {
+  private static Set<String> serversOf(List<LogLine> own) {
     Set<String> servers = new HashSet<>();
-    for (Line line : own) {
+    for (LogLine line : own) {
       servers.add(line.detail().path("server").asText());
       for (JsonNode part : line.detail().path("missing")) {
         part.path("open").forEach(open -> servers.add(open.asText().replaceFirst(" .*", "")));
@@ -124,7 +72,7 @@
     return servers;
   }
 
-  private static String sentence(Line line) {
+  private static String sentence(LogLine line) {
     StringBuilder fields = new StringBuilder();
     for (Map.Entry<String, JsonNode> field : line.detail().properties()) {
       fields.append(' ').append(field.getKey()).append('=').append(text(field.getValue()));
