--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
@@ -35,11 +35,6 @@
   private static final Duration FIRST_WORK_POLL = Duration.ofMillis(10);
 
   /** A process that cannot read the store warms up meanwhile. */
-  private static final Duration FLEET_POLL = Duration.ofMillis(200);
-
-  /** Members find each other within a few seconds, and the first configuration comes by then. */
-  private static final Duration LONGEST_WAIT_FOR_FLEET = Duration.ofSeconds(15);
-
   private static final Duration LATEST_WARM_UP = Duration.ofSeconds(1);
 
   /** Routers that were there before answer the first message within this. */
@@ -57,15 +52,6 @@
   /** Fewer searches than these leave much code that is not compiled. */
   private static final int SEARCHES_WHEN_WARM = 40;
 
-  private static final Duration STOP_POLL = Duration.ofMillis(20);
-
-  /** The platform asks once a second and turns away after two misses. */
-  private static final double TURN_AWAY_FRACTION = 0.5;
-
-  /** A stop ends in any case before the process is killed. */
-  private static final double LAST_FRACTION = 0.85;
-
-  private static final Duration QUIET = Duration.ofMillis(300);
   private static final int OK = 200;
   private static final int UNAVAILABLE = 503;
   private static final double NANOS_PER_MILLI = 1e6;
@@ -85,6 +71,7 @@
   private DelegateServer delegated;
   private RouterPeers peers;
   private CallerServer callers;
+  private WarmUps warmUps;
   private SocketAddressSetting callerAddress;
   private SocketAddressSetting readinessAddress;
   private SocketAddressSetting peerAddress;
@@ -159,6 +146,17 @@
             events,
             new NodeRouterGroup(() -> peers, delegates));
     callers = new CallerServer(vertx, driver, router, callerCodec, metrics);
+    warmUps =
+        new WarmUps(
+            vertx,
+            context,
+            settings.options(),
+            callerCodec,
+            attemptCodec,
+            feedCodec,
+            warmUpCodec,
+            () -> callers.connectionCount() > 0,
+            searches -> logProcess("warm", searches + " searches handed on"));
     bindMetrics(connections, store, endpoint);
     vertx.setPeriodic(CONNECTION_SWEEP.toMillis(), id -> connections.closeRested());
     // Callers first: what comes before the store is listed is held, not turned away.
@@ -194,7 +192,7 @@
                 context.runOnContext(
                     ignored -> {
                       peers.rehearse();
-                      runWarmUp(true).onComplete(loaded);
+                      warmUps.run(true).onComplete(loaded);
                     }));
     return loaded.future();
   }
@@ -243,31 +241,13 @@
           openLog();
           router.onStopping();
           peers.leave();
-          pollStop(drained, System.nanoTime());
+          new PlannedStop(vertx, callers, delegated, settings.stopGrace())
+              .run(reason -> logProcess("stopped", reason))
+              .onComplete(drained);
         });
     return drained.future();
   }
 
-  private void pollStop(Promise<Void> drained, long stopNanos) {
-    long graceNanos = settings.stopGrace().toNanos();
-    vertx.setPeriodic(
-        STOP_POLL.toMillis(),
-        id -> {
-          long elapsed = System.nanoTime() - stopNanos;
-          boolean turnedAway = elapsed > TURN_AWAY_FRACTION * graceNanos;
-          if (turnedAway) {
-            callers.closeIdle(QUIET);
-          }
-          boolean done =
-              turnedAway && callers.connectionCount() == 0 && delegated.inProgress() == 0;
-          if (done || elapsed > LAST_FRACTION * graceNanos) {
-            vertx.cancelTimer(id);
-            logProcess("stopped", done ? "" : callers.connectionCount() + " connections left");
-            callers.close().onComplete(closed -> drained.complete());
-          }
-        });
-  }
-
   private void startDecisions() {
     logProcess("started", "");
     afterStart(FIRST_WORK_POLL, LATEST_WARM_UP, () -> router.follower().hasListed(), this::warmUp);
@@ -283,39 +263,10 @@
       onWarm(0);
       return;
     }
-    runWarmUp(false).onSuccess(this::onWarm).onSuccess(searches -> awaitGathering());
-  }
-
-  private Future<Integer> runWarmUp(boolean handOn) {
-    return new ForwardWarmUp(
-            vertx,
-            context,
-            settings.options(),
-            callerCodec,
-            attemptCodec,
-            feedCodec,
-            warmUpCodec,
-            () -> callers.connectionCount() > 0,
-            handOn)
-        .run();
-  }
-
-  /** Handing searches on is warmed up too once the fleet is known to be so large. */
-  private void awaitGathering() {
-    long endNanos = System.nanoTime() + LONGEST_WAIT_FOR_FLEET.toNanos();
-    vertx.setPeriodic(
-        FLEET_POLL.toMillis(),
-        id -> {
-          boolean late = callers.connectionCount() > 0 || System.nanoTime() > endNanos;
-          boolean gathers = router.coordinator().gathersSearches();
-          if (late || gathers) {
-            vertx.cancelTimer(id);
-          }
-          if (gathers && !late) {
-            runWarmUp(true)
-                .onSuccess(searches -> logProcess("warm", searches + " searches handed on"));
-          }
-        });
+    warmUps
+        .run(false)
+        .onSuccess(this::onWarm)
+        .onSuccess(searches -> warmUps.handOnWhen(router.coordinator()::gathersSearches));
   }
 
   /** Runs a task once a condition holds, or some time after the start in any case. */
@@ -394,17 +345,7 @@
         endpoint,
         events,
         serverId -> router.directory().onDraining(serverId, System.nanoTime()),
-        new RouterPeers.StoreRevisions() {
-          @Override
-          public long newestSeen() {
-            return router.follower().newestRevision();
-          }
-
-          @Override
-          public void onSeenByPeer(long revision, String address, boolean near) {
-            router.follower().onPeerRevision(revision, address, near);
-          }
-        });
+        new FollowedRevisions(() -> router.follower()));
   }
 
   private Future<HttpServer> listenForReadiness() {
