A router that knows servers of less than half of a search's shards hands it on in any case

Change: such a router (Gatherers, LEAST_KNOWN) gathers nothing itself and hands on to any large one; the check that enough shards can be reached comes after handing on. ZoneCoverage.without went, since nothing used it any more. Tests: DelegationTest.aRouterThatKnowsNoServersHandsOnAllTheSame (red before), GatherersTest.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
@@ -138,10 +138,15 @@
     routeState.latencies().record(nanos, nowNanos);
   }
 
-  /** Sends the first attempt of every part, or refuses the request before any is sent. */
+  /** Hands the request on, or sends the first attempt of every part, or refuses it. */
   void start() {
     started = true;
-    if (reachableParts() < minimumParts) {
+    if (route.target() instanceof RouteTarget.AllShards search) {
+      handOn(search.services());
+    }
+    List<PartProgress> own = parts.stream().filter(part -> !part.isHandedOn()).toList();
+    // A router that gathers may know servers that this one does not.
+    if (own.size() == parts.size() && reachableParts() < minimumParts) {
       finishWithError(ErrorKind.NOTHING_SELECTED, "too few services have a usable server");
       return;
     }
@@ -149,10 +154,7 @@
     if (sender.options().has(Mechanism.PARTIAL_ANSWERS)) {
       ownTimers.add(timers.schedule(times.objectiveNanos(), this::onObjective));
     }
-    if (route.target() instanceof RouteTarget.AllShards search) {
-      handOn(search.services());
-    }
-    startFirst(parts.stream().filter(part -> !part.isHandedOn()).toList());
+    startFirst(own);
   }
 
   /** Hands parts to other routers where that is of use. */
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/Gatherers.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/Gatherers.java
@@ -22,6 +22,12 @@
    */
   private static final double COVERAGE_SLACK = 0.3;
 
+  /**
+   * A router that knows servers of fewer of the shards misses news of the store: any other may know
+   * more.
+   */
+  private static final double LEAST_KNOWN = 0.5;
+
   /** Machines of this part of the largest one's processor are as good. */
   private static final double NEARLY_LARGEST = 0.6;
 
@@ -93,10 +99,12 @@
 
   private Choice choose(ImmutableList<String> group, long nowNanos) {
     Map<String, List<NearbyRouter>> byZone = routersByZone();
-    List<String> zones = zonesNearServers(group, byZone, nowNanos);
+    boolean blind = coverage.known(group, nowNanos) < LEAST_KNOWN;
+    List<String> zones =
+        blind ? ImmutableList.copyOf(byZone.keySet()) : zonesNearServers(group, byZone, nowNanos);
     double largest = largest(zones, byZone);
     int allowed = Math.max(1, layout.gatherersAllowed(group.get(0)) / zones.size());
-    boolean near = zones.contains(options.zone());
+    boolean near = !blind && zones.contains(options.zone());
     List<NearbyRouter> first = new ArrayList<>();
     List<NearbyRouter> reserve = new ArrayList<>();
     OwnRole ownRole = OwnRole.NONE;
@@ -114,6 +122,9 @@
         }
       }
     }
+    if (blind && !first.isEmpty()) {
+      ownRole = OwnRole.NONE;
+    }
     return new Choice(
         ImmutableList.copyOf(first), ImmutableList.copyOf(reserve), ownRole, Math.max(1, sharing));
   }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ZoneCoverage.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ZoneCoverage.java
@@ -1,6 +1,5 @@
 package io.arrowarch.core.forward;
 
-import com.google.common.collect.ImmutableList;
 import io.arrowarch.core.server.ServerDirectory;
 import io.arrowarch.core.server.ServerState;
 import java.time.Duration;
@@ -22,16 +21,15 @@
     this.directory = directory;
   }
 
-  /** Shards that have usable servers, but none in a zone. */
-  ImmutableList<String> without(String zone, List<String> shards, long nowNanos) {
-    ImmutableList.Builder<String> without = ImmutableList.builder();
+  /** The part of the shards, from 0 to 1, that have a usable server in any zone. */
+  double known(List<String> shards, long nowNanos) {
+    int known = 0;
     for (String shard : shards) {
-      Set<String> zones = zonesOf(shard, nowNanos);
-      if (!zones.isEmpty() && !zones.contains(zone)) {
-        without.add(shard);
+      if (!zonesOf(shard, nowNanos).isEmpty()) {
+        known++;
       }
     }
-    return without.build();
+    return (double) known / shards.size();
   }
 
   /** The part of the shards, from 0 to 1, that have a usable server in a zone. */
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/DelegationTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/DelegationTest.java
@@ -29,6 +29,22 @@
     assertThat(routers.underWay.get(FIRST).shards()).isEqualTo(RouterPair.SHARDS);
   }
 
+  @Test
+  public void aRouterThatKnowsNoServersHandsOnAllTheSame() {
+    for (String shard : RouterPair.SHARDS) {
+      for (String zone : ImmutableList.of("-a", "-b", "-c")) {
+        routers.near.directory.onGone(shard + zone, routers.clock.nanoTime());
+      }
+    }
+    routers.advance(Duration.ofSeconds(5));
+    routers.near.submit();
+    routers.deliver(FIRST);
+    answerAll(routers.far);
+    routers.reply(FIRST);
+
+    assertThat(routers.near.merged(0).missingParts()).isZero();
+  }
+
   @Test
   public void anAnswerHoldsWhatTheGathererHasGot() {
     routers.near.submit();
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/GatherersTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/GatherersTest.java
@@ -100,6 +100,20 @@
     assertThat(choose("far", 1).ownRole()).isEqualTo(Gatherers.OwnRole.FIRST);
   }
 
+  @Test
+  public void aRouterThatMissesMostServersGathersNothingItself() {
+    for (String shard : SHARDS.subList(0, 3)) {
+      directory.onGone(shard + "-near-1", clock.nanoTime());
+      directory.onGone(shard + "-near-2", clock.nanoTime());
+    }
+    clock.advance(Duration.ofSeconds(5));
+    add("a", "near-2", 1);
+    Gatherers.Choice choice = choose("near-1", 1.5);
+
+    assertThat(choice.ownRole()).isEqualTo(Gatherers.OwnRole.NONE);
+    assertThat(ids(choice.first())).containsExactly("a");
+  }
+
   @Test
   public void aZoneWithHalfOfTheShardsIsNotNearEnough() {
     server("s1", "half");
