--- /dev/null
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/FixedRouterGroup.java
@@ -0,0 +1,17 @@
+package io.arrowarch.core.forward;
+
+import com.google.common.collect.ImmutableList;
+import java.util.List;
+
+/** A group of routers that a test sets; searches cannot be handed to them. */
+record FixedRouterGroup(int count, List<NearbyRouter> others) implements RouterGroup {
+  @Override
+  public ImmutableList<NearbyRouter> nearby() {
+    return ImmutableList.copyOf(others);
+  }
+
+  @Override
+  public DelegateTransport transport() {
+    return DelegateTransport.NONE;
+  }
+}
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/GatherersTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/GatherersTest.java
@@ -3,15 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import io.arrowarch.core.FakeClock;
 import io.arrowarch.core.feed.FeedBounds;
-import io.arrowarch.core.route.CallerLimits;
-import io.arrowarch.core.route.Route;
-import io.arrowarch.core.route.RouteTarget;
-import io.arrowarch.core.route.RoutingConfiguration;
-import io.arrowarch.core.route.ServiceSettings;
 import io.arrowarch.core.server.ServerDirectory;
 import io.arrowarch.core.server.ServerEntry;
 import java.time.Duration;
@@ -143,47 +137,13 @@
             Duration.ofSeconds(5),
             new FeedBounds(Duration.ofSeconds(4), Duration.ofSeconds(3)),
             ImmutableSet.of());
-    return new Gatherers(options, group(), layout(), new ZoneCoverage(directory), clock).of(SHARDS);
-  }
-
-  private static SearchLayout layout() {
-    SearchLayout layout = new SearchLayout(() -> ROUTERS, true);
-    ImmutableMap.Builder<String, ServiceSettings> services = ImmutableMap.builder();
-    SHARDS.forEach(shard -> services.put(shard, new ServiceSettings(shard, CONNECTIONS)));
-    Route route =
-        new Route(
-            "search",
-            "host",
-            "/",
-            true,
-            Duration.ofSeconds(2),
-            Duration.ofMillis(200),
-            2,
-            0,
-            new RouteTarget.AllShards(SHARDS, 50, 0.9));
-    layout.reconfigure(
-        new RoutingConfiguration(
-            1, ImmutableList.of(route), services.buildOrThrow(), CallerLimits.DEFAULT));
-    return layout;
-  }
-
-  private RouterGroup group() {
-    return new RouterGroup() {
-      @Override
-      public int count() {
-        return ROUTERS;
-      }
-
-      @Override
-      public ImmutableList<NearbyRouter> nearby() {
-        return ImmutableList.copyOf(others);
-      }
-
-      @Override
-      public DelegateTransport transport() {
-        return DelegateTransport.NONE;
-      }
-    };
+    return new Gatherers(
+            options,
+            new FixedRouterGroup(ROUTERS, others),
+            SearchLayoutTest.layout(ROUTERS, SHARDS, CONNECTIONS),
+            new ZoneCoverage(directory),
+            clock)
+        .of(SHARDS);
   }
 
   private void add(String id, String zone, double cores) {
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/LookoutsTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/LookoutsTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import io.arrowarch.core.feed.FeedBounds;
 import java.time.Duration;
@@ -67,23 +66,7 @@
             Duration.ofSeconds(5),
             new FeedBounds(Duration.ofSeconds(4), Duration.ofSeconds(3)),
             ImmutableSet.of());
-    RouterGroup group =
-        new RouterGroup() {
-          @Override
-          public int count() {
-            return 1 + others.size();
-          }
-
-          @Override
-          public ImmutableList<NearbyRouter> nearby() {
-            return ImmutableList.copyOf(others);
-          }
-
-          @Override
-          public DelegateTransport transport() {
-            return DelegateTransport.NONE;
-          }
-        };
+    RouterGroup group = new FixedRouterGroup(1 + others.size(), others);
     return new Lookouts(options, group).includesSelf();
   }
 }
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/SearchLayoutTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/SearchLayoutTest.java
@@ -58,9 +58,14 @@
   }
 
   private static SearchLayout layout(int routers, int width, int connections) {
+    return layout(routers, shards(width), connections);
+  }
+
+  /** The layout of one search over these shards. */
+  static SearchLayout layout(int routers, ImmutableList<String> shards, int connections) {
     SearchLayout layout = new SearchLayout(() -> routers, true);
     ImmutableMap.Builder<String, ServiceSettings> services = ImmutableMap.builder();
-    shards(width).forEach(shard -> services.put(shard, new ServiceSettings(shard, connections)));
+    shards.forEach(shard -> services.put(shard, new ServiceSettings(shard, connections)));
     Route route =
         new Route(
             "search",
@@ -71,7 +76,7 @@
             Duration.ofMillis(200),
             2,
             0,
-            new RouteTarget.AllShards(shards(width), 50, 0.9));
+            new RouteTarget.AllShards(shards, 50, 0.9));
     layout.reconfigure(
         new RoutingConfiguration(
             1, ImmutableList.of(route), services.buildOrThrow(), CallerLimits.DEFAULT));
