A server whose entry has just gone is used beside the others for a moment

Ruled out: the shards without any server (their gone ones were the last resort already). ServerStateTest.anEntryThatComesBackIsUsedAgain expected that a gone server is not used at once; that was the fault. It now expects it after the last resort, and two tests hold the difference between gone and draining.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/server/ServerDirectory.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/server/ServerDirectory.java
@@ -94,15 +94,17 @@
   }
 
   /**
-   * The servers of a service that may take new work, of the best group that has any: ready and
-   * sound; ready but suspended; leaving a moment ago.
+   * The servers of a service that may take new work, of the best group that has any: there and
+   * sound; there but suspended; leaving a moment ago. One whose entry went a moment ago counts as
+   * there: entries also lapse, many at a time, while the store is away, and failures tell sooner
+   * that a server has ended.
    */
   public List<ServerState> usable(String service, long nowNanos) {
     List<ServerState> sound = new ArrayList<>();
     List<ServerState> suspended = new ArrayList<>();
     List<ServerState> lastResort = new ArrayList<>();
     for (ServerState server : byService.get(service)) {
-      if (server.status() == ServerStatus.READY) {
+      if (server.isThere(nowNanos)) {
         (server.isSuspended(nowNanos) ? suspended : sound).add(server);
       } else if (server.isLastResort(nowNanos)) {
         lastResort.add(server);
--- a/arrowarch-core/src/main/java/io/arrowarch/core/server/ServerState.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/server/ServerState.java
@@ -84,10 +84,18 @@
     return suspended && (nowNanos < suspendedUntilNanos || openAttempts.size() > 0);
   }
 
+  /** Whether its entry says that it is ready, or has gone only a moment ago. */
+  boolean isThere(long nowNanos) {
+    return status == ServerStatus.READY || (status == ServerStatus.GONE && isRecent(nowNanos));
+  }
+
   /** Whether it is leaving, but may be used where nothing else is left. */
-  public boolean isLastResort(long nowNanos) {
-    boolean leaving = status == ServerStatus.DRAINING || status == ServerStatus.GONE;
-    return leaving && nowNanos - statusSinceNanos < lastResort.toNanos();
+  boolean isLastResort(long nowNanos) {
+    return status == ServerStatus.DRAINING && isRecent(nowNanos);
+  }
+
+  private boolean isRecent(long nowNanos) {
+    return nowNanos - statusSinceNanos < lastResort.toNanos();
   }
 
   /** For how long it has stood still beyond what is normal; 0 when it does not. */
--- a/arrowarch-core/src/test/java/io/arrowarch/core/server/ServerStateTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/server/ServerStateTest.java
@@ -125,6 +125,22 @@
     assertThat(usable()).isEmpty();
   }
 
+  @Test
+  public void aServerWhoseEntryHasJustGoneIsUsedBesideTheOthers() {
+    directory.onGone("a", clock.nanoTime());
+    assertThat(usable()).containsExactlyInAnyOrder("a", "b");
+    clock.advance(LAST_RESORT);
+
+    assertThat(usable()).containsExactly("b");
+  }
+
+  @Test
+  public void aServerThatSaysThatItLeavesIsNotUsedBesideOthers() {
+    directory.onDraining("a", clock.nanoTime());
+
+    assertThat(usable()).containsExactly("b");
+  }
+
   @Test
   public void aReplacedServerIsNeverUsedAgain() {
     end(start("a"), "a", AttemptVerdict.REPLACED);
@@ -135,6 +151,7 @@
   @Test
   public void anEntryThatComesBackIsUsedAgain() {
     directory.onGone("a", clock.nanoTime());
+    clock.advance(LAST_RESORT);
     assertThat(usable()).containsExactly("b");
     directory.onEntry(entry("a"), clock.nanoTime());
     assertThat(usable()).containsExactly("a", "b");
