The load header's fourth figure is read: how long work takes at a server now

Cause: on deployments whose servers share their machines the header has four figures, and the reader dropped every header that had not exactly three, so that no router knew the load of any server there. Ruled out: ignoring the figure; what took long on a busy machine was remembered of the server for seconds. Change: the report has a factor, which fades with the report (400 ms), and the memory of speed is freed of it.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/server/ServerState.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/server/ServerState.java
@@ -108,12 +108,23 @@
     if (report.isEmpty()) {
       return openAttempts.size();
     }
-    double freshness = 1 - (double) (nowNanos - reportNanos) / REPORT_LIFE.toNanos();
     int reported = report.get().running() + report.get().waiting();
-    double ofOthers = Math.max(0, reported - openAtReport) * Math.max(0, freshness);
+    double ofOthers = Math.max(0, reported - openAtReport) * reportFreshness(nowNanos);
     return openAttempts.size() + ofOthers;
   }
 
+  /** How much the newest report says of this moment: from 1, just come, to 0. */
+  private double reportFreshness(long nowNanos) {
+    return Math.max(0, 1 - (double) (nowNanos - reportNanos) / REPORT_LIFE.toNanos());
+  }
+
+  /** How many times as long as usual work takes there now, by its own word. */
+  private double workFactor(long nowNanos) {
+    return report
+        .map(latest -> 1 + (latest.workFactor() - 1) * reportFreshness(nowNanos))
+        .orElse(LoadReport.USUAL);
+  }
+
   /** Whether one more attempt would run at once or be the next to run, as far as is known. */
   public boolean hasRoomForHedge(long nowNanos) {
     return load(nowNanos) < entry.slots() + 1;
@@ -121,6 +132,11 @@
 
   /** How many times as long as usual its answers take; 1 is normal. */
   public double slowness(long nowNanos) {
+    return lastingSlowness(nowNanos) * workFactor(nowNanos);
+  }
+
+  /** Slowness without what its machine does to it for a moment. */
+  private double lastingSlowness(long nowNanos) {
     double halfLives = (double) (nowNanos - slownessNanos) / SPEED_HALF_LIFE.toNanos();
     double remembered = 1 + (slowness - 1) * Math.pow(0.5, halfLives);
     return nowNanos < warmAtNanos ? Math.max(COLD_SLOWNESS, remembered) : remembered;
@@ -180,8 +196,8 @@
     suspensions = 0;
     suspended = false;
     if (relativeLatency > 0) {
-      double sample = Math.min(SLOWEST, relativeLatency);
-      slowness = (1 - SPEED_WEIGHT) * slowness(nowNanos) + SPEED_WEIGHT * sample;
+      double sample = Math.min(SLOWEST, relativeLatency / workFactor(nowNanos));
+      slowness = (1 - SPEED_WEIGHT) * lastingSlowness(nowNanos) + SPEED_WEIGHT * sample;
       slownessNanos = nowNanos;
     }
   }
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/ForwardFixture.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/ForwardFixture.java
@@ -195,7 +195,7 @@
         signature,
         notRun,
         misdirected,
-        Optional.of(new LoadReport(0, 0, 2)),
+        Optional.of(new LoadReport(0, 0, 2, LoadReport.USUAL)),
         ImmutableList.of(),
         Payload.of(new byte[32]));
   }
--- a/arrowarch-core/src/test/java/io/arrowarch/core/server/ServerStateTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/server/ServerStateTest.java
@@ -108,7 +108,7 @@
   @Test
   public void loadIsOwnAttemptsAndTheFreshPartOfOthers() {
     start("a");
-    directory.onReport("a", new LoadReport(2, 3, 2), clock.nanoTime());
+    directory.onReport("a", new LoadReport(2, 3, 2, LoadReport.USUAL), clock.nanoTime());
     assertThat(state("a").load(clock.nanoTime())).isEqualTo(5);
     clock.advance(Duration.ofMillis(200));
     assertThat(state("a").load(clock.nanoTime())).isCloseTo(3, within(0.01));
@@ -116,6 +116,23 @@
     assertThat(state("a").load(clock.nanoTime())).isEqualTo(1);
   }
 
+  @Test
+  public void aServerThatSaysThatWorkTakesLongIsSlowForAMoment() {
+    directory.onReport("a", new LoadReport(0, 0, 2, 3), clock.nanoTime());
+    assertThat(state("a").slowness(clock.nanoTime())).isEqualTo(3);
+    clock.advance(Duration.ofMillis(500));
+    assertThat(state("a").slowness(clock.nanoTime())).isEqualTo(1);
+  }
+
+  @Test
+  public void whatTookLongOnABusyMachineIsNotRememberedOfTheServer() {
+    long attempt = start("a");
+    directory.onReport("a", new LoadReport(0, 0, 2, 4), clock.nanoTime());
+    directory.onEnded("a", attempt, AttemptVerdict.SOUND, 4, clock.nanoTime());
+    clock.advance(Duration.ofMillis(500));
+    assertThat(state("a").slowness(clock.nanoTime())).isCloseTo(1, within(0.01));
+  }
+
   @Test
   public void aLeavingServerIsALastResortForAMomentOnly() {
     directory.onGone("a", clock.nanoTime());
