Servers of an evacuated zone get nothing until the operator takes it back

Change: the key is an entry of its own; the directory leaves the zone's servers out of every choice (first and second attempts, gathered parts, last resort).

--- a/arrowarch-core/src/main/java/io/arrowarch/core/event/RouterEvent.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/event/RouterEvent.java
@@ -172,6 +172,18 @@
     }
   }
 
+  /**
+   * The servers of a zone get nothing from now on, or may be used again.
+   *
+   * @param state evacuated or returned
+   */
+  record ZoneChanged(String zone, String state, long revision) implements RouterEvent {
+    @Override
+    public String eventName() {
+      return "zone";
+    }
+  }
+
   /** A configuration was taken or refused. */
   record ConfigurationChanged(
       long version, long revision, String outcome, String reason, int routes)
--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/FeedEntry.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/FeedEntry.java
@@ -11,6 +11,9 @@
   /** A server's entry in the directory. */
   record Server(ServerEntry entry) implements FeedEntry {}
 
+  /** The servers of a zone are to get nothing for as long as the entry is there. */
+  record Evacuation(String zone) implements FeedEntry {}
+
   /** Of no use to a router. */
   record Unknown() implements FeedEntry {}
 
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardingRouter.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardingRouter.java
@@ -43,6 +43,7 @@
 
   private final ServerDirectory directory;
   private final Map<String, ServerEntry> entriesByKey = new HashMap<>();
+  private final Map<String, String> evacuatedZonesByKey = new HashMap<>();
   private final StoreFollower follower;
   private final ForwardCoordinator coordinator;
   private boolean stopping;
@@ -144,6 +145,8 @@
       onConfiguration(written.configuration(), revision);
     } else if (entry instanceof FeedEntry.Server written) {
       onServer(key, written.entry(), revision);
+    } else if (entry instanceof FeedEntry.Evacuation written) {
+      onEvacuation(key, written.zone(), revision);
     } else if (entry instanceof FeedEntry.Malformed malformed) {
       events.log(
           new RouterEvent.ConfigurationChanged(0, revision, "unreadable", malformed.fault(), 0));
@@ -156,6 +159,10 @@
     if (entry != null && directory.onGone(entry.id(), clock.nanoTime())) {
       logServer(entry, "gone", revision);
     }
+    String zone = evacuatedZonesByKey.remove(key);
+    if (zone != null && directory.onEvacuationEnded(zone)) {
+      events.log(new RouterEvent.ZoneChanged(zone, "returned", revision));
+    }
   }
 
   @Override
@@ -206,6 +213,13 @@
             written.routes().size()));
   }
 
+  private void onEvacuation(String key, String zone, long revision) {
+    evacuatedZonesByKey.put(key, zone);
+    if (directory.onEvacuated(zone)) {
+      events.log(new RouterEvent.ZoneChanged(zone, "evacuated", revision));
+    }
+  }
+
   private void onServer(String key, ServerEntry entry, long revision) {
     entriesByKey.put(key, entry);
     if (directory.onEntry(entry, clock.nanoTime())) {
--- a/arrowarch-core/src/main/java/io/arrowarch/core/server/ServerDirectory.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/server/ServerDirectory.java
@@ -6,8 +6,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -21,6 +23,7 @@
   private final Duration lastResort;
   private final Map<String, ServerState> servers = new HashMap<>();
   private final SetMultimap<String, ServerState> byService = LinkedHashMultimap.create();
+  private final Set<String> evacuatedZones = new HashSet<>();
 
   /**
    * Creates a directory without servers.
@@ -62,6 +65,21 @@
     find(id).ifPresent(server -> server.onDraining(nowNanos));
   }
 
+  /** From now on the servers of a zone get nothing; returns whether that is news. */
+  public boolean onEvacuated(String zone) {
+    return evacuatedZones.add(zone);
+  }
+
+  /** The servers of a zone may be used again; returns whether that is news. */
+  public boolean onEvacuationEnded(String zone) {
+    return evacuatedZones.remove(zone);
+  }
+
+  /** The zones whose servers get nothing. */
+  public Set<String> evacuatedZones() {
+    return Collections.unmodifiableSet(evacuatedZones);
+  }
+
   /** Takes a report of load. */
   public void onReport(String id, LoadReport report, long nowNanos) {
     find(id).ifPresent(server -> server.onReport(report, nowNanos));
@@ -97,13 +115,17 @@
    * The servers of a service that may take new work, of the best group that has any: there and
    * sound; there but suspended; leaving a moment ago. One whose entry went a moment ago counts as
    * there: entries also lapse, many at a time, while the store is away, and failures tell sooner
-   * that a server has ended.
+   * that a server has ended. Servers of an evacuated zone are in no group, not even as a last
+   * resort.
    */
   public List<ServerState> usable(String service, long nowNanos) {
     List<ServerState> sound = new ArrayList<>();
     List<ServerState> suspended = new ArrayList<>();
     List<ServerState> lastResort = new ArrayList<>();
     for (ServerState server : byService.get(service)) {
+      if (evacuatedZones.contains(server.entry().zone())) {
+        continue;
+      }
       if (server.isThere(nowNanos)) {
         (server.isSuspended(nowNanos) ? suspended : sound).add(server);
       } else if (server.isLastResort(nowNanos)) {
--- /dev/null
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/server/EvacuationTest.java
@@ -0,0 +1,51 @@
+package io.arrowarch.core.server;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public final class EvacuationTest {
+  private ServerDirectory directory;
+
+  @BeforeMethod
+  public void create() {
+    directory = new ServerDirectory(Duration.ofSeconds(3));
+    add("a", "zone-a");
+    add("b", "zone-a");
+    add("c", "zone-c");
+  }
+
+  private void add(String id, String zone) {
+    directory.onEntry(
+        new ServerEntry(id, "s", "10.0.0.1:80", zone, 2, false, Duration.ZERO), 0);
+  }
+
+  private List<String> usable() {
+    return directory.usable("s", 0).stream().map(ServerState::id).toList();
+  }
+
+  @Test
+  public void theServersOfAnEvacuatedZoneAreNotUsed() {
+    assertThat(directory.onEvacuated("zone-a")).isTrue();
+    assertThat(directory.onEvacuated("zone-a")).isFalse();
+    assertThat(usable()).containsExactly("c");
+  }
+
+  @Test
+  public void theyAreNoLastResortEither() {
+    directory.onEvacuated("zone-a");
+    directory.onEvacuated("zone-c");
+    assertThat(usable()).isEmpty();
+  }
+
+  @Test
+  public void theyComeBackWhenTheEvacuationIsTakenBack() {
+    directory.onEvacuated("zone-a");
+    assertThat(directory.onEvacuationEnded("zone-a")).isTrue();
+    assertThat(directory.onEvacuationEnded("zone-a")).isFalse();
+    assertThat(usable()).containsExactly("a", "b", "c");
+  }
+}
