A leaving server is a last resort by when it may have begun to leave, not by when that was heard

Change: the follower says from when a change may be: a watch that has waited ends with the change, what a listing or a prompt answer tells may be as old as what was known last; deletions count from their news unless others were served meanwhile. A router that stays behind for a second asks routers of other zones for their listing too.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/StoreFollower.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/StoreFollower.java
@@ -46,6 +46,12 @@
   /** A listing of a peer has some 100 KB on a site of 400 servers; changes may wait a moment. */
   static final Duration PEER_LISTING_INTERVAL = Duration.ofMillis(1_500);
 
+  /** An answer to a watch that took longer was sent at once when the change was made. */
+  static final Duration PROMPT_ANSWER = Duration.ofMillis(500);
+
+  /** A router that has been behind for longer also asks those of other zones for their listing. */
+  static final Duration PATIENCE_FOR_NEAR_PEERS = Duration.ofSeconds(1);
+
   private static final Duration SHORTEST_WAIT = Duration.ofSeconds(1);
   private static final Duration FIRST_BACKOFF = Duration.ofMillis(100);
   private static final int MAXIMUM_DOUBLINGS = 3;
@@ -72,6 +78,17 @@
   private int failures;
   private boolean everAnswered;
   private long lastAnswerNanos;
+  private long callStartNanos;
+  private long listingStartNanos;
+
+  /** Every change before this moment has been told. */
+  private Optional<Long> completeUntilNanos = Optional.empty();
+
+  /** When another router was first heard to be ahead, while the store does not answer this one. */
+  private Optional<Long> behindSinceNanos = Optional.empty();
+
+  private long changedSinceNanos;
+  private long deletedSinceNanos;
 
   /**
    * Creates a follower that has read nothing.
@@ -125,6 +142,20 @@
         : Optional.empty();
   }
 
+  /** The earliest moment at which the change that is being told may have been made. */
+  public long changedSinceNanos() {
+    return changedSinceNanos;
+  }
+
+  /**
+   * The moment from which a deletion that is being told is to be counted. Entries also lapse while
+   * the store is away, and come back soon after it; only where it was there for others meanwhile
+   * may a deletion be older than its news.
+   */
+  public long deletedSinceNanos() {
+    return deletedSinceNanos;
+  }
+
   /** The newest revision of a key that this router has seen; 0 before the first. */
   public long newestRevision() {
     return newestRevision;
@@ -147,9 +178,7 @@
       return;
     }
     if (failures > 0) {
-      if (near || position.isEmpty()) {
-        askPeer(address);
-      }
+      onBehindWithoutStore(address, near);
     } else if (watching && !checkingBehind) {
       checkingBehind = true;
       long call = currentCall;
@@ -157,6 +186,16 @@
     }
   }
 
+  private void onBehindWithoutStore(String address, boolean near) {
+    long nowNanos = clock.nanoTime();
+    long since = behindSinceNanos.orElse(nowNanos);
+    behindSinceNanos = Optional.of(since);
+    boolean patient = nowNanos - since < PATIENCE_FOR_NEAR_PEERS.toNanos();
+    if (near || position.isEmpty() || !patient) {
+      askPeer(address);
+    }
+  }
+
   private boolean isBehind(long revision) {
     return revision > Math.max(newestRevision, position.orElse(0L));
   }
@@ -187,6 +226,7 @@
     if (answer.revision() <= position.orElse(0L)) {
       return;
     }
+    dateChangesOfListing();
     Set<String> keys = new HashSet<>();
     answer.items().forEach(item -> keys.add(item.key()));
     answer.items().forEach(this::apply);
@@ -218,14 +258,33 @@
     failures = 0;
     everAnswered = true;
     lastAnswerNanos = clock.nanoTime();
-    answer.items().forEach(this::apply);
     if (listingFrom.isPresent()) {
+      dateChangesOfListing();
+      answer.items().forEach(this::apply);
       onPage(answer);
     } else {
+      dateChangesOfWatch();
+      answer.items().forEach(this::apply);
+      behindSinceNanos = Optional.empty();
       onChanges(answer);
     }
   }
 
+  /** What a listing tells is from any time since this router last knew everything. */
+  private void dateChangesOfListing() {
+    changedSinceNanos = completeUntilNanos.orElse(Long.MIN_VALUE / 2);
+    deletedSinceNanos = behindSinceNanos.orElse(clock.nanoTime());
+  }
+
+  /** A watch that has waited ends with the change; one that ends at once brings older ones. */
+  private void dateChangesOfWatch() {
+    long nowNanos = clock.nanoTime();
+    boolean waited = nowNanos - callStartNanos > PROMPT_ANSWER.toNanos();
+    changedSinceNanos = waited ? nowNanos : completeUntilNanos.orElse(Long.MIN_VALUE / 2);
+    deletedSinceNanos = changedSinceNanos;
+    completeUntilNanos = Optional.of(waited ? nowNanos : callStartNanos);
+  }
+
   /** Takes a failure; ignored when the call is not the current one. */
   public void onFailure(long call, FeedFailure failure) {
     if (call != currentCall) {
@@ -266,6 +325,8 @@
     deleteUnlisted(listed, from);
     listingFrom = Optional.empty();
     position = Optional.of(Math.max(from, position.orElse(0L)));
+    completeUntilNanos = Optional.of(listingStartNanos);
+    behindSinceNanos = Optional.empty();
     listener.onListed(from);
     watch();
   }
@@ -308,6 +369,7 @@
     if (afterKey.isEmpty()) {
       listed.clear();
       listingFrom = Optional.of(-1L);
+      listingStartNanos = clock.nanoTime();
     }
     calling = true;
     transport.list(++currentCall, afterKey, LIST_TIMEOUT);
@@ -318,6 +380,7 @@
     Duration wait = lookout.getAsBoolean() || failedSinceWatch ? shortWait : LONGEST_WAIT;
     calling = true;
     watching = true;
+    callStartNanos = clock.nanoTime();
     transport.watch(++currentCall, position.orElseThrow(), wait, wait.plus(ANSWER_SLACK));
   }
 
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardingRouter.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardingRouter.java
@@ -156,7 +156,8 @@
   @Override
   public void onDeleted(String key, long revision) {
     ServerEntry entry = entriesByKey.remove(key);
-    if (entry != null && directory.onGone(entry.id(), clock.nanoTime())) {
+    if (entry != null
+        && directory.onGone(entry.id(), follower.deletedSinceNanos(), clock.nanoTime())) {
       logServer(entry, "gone", revision);
     }
     String zone = evacuatedZonesByKey.remove(key);
@@ -222,7 +223,7 @@
 
   private void onServer(String key, ServerEntry entry, long revision) {
     entriesByKey.put(key, entry);
-    if (directory.onEntry(entry, clock.nanoTime())) {
+    if (directory.onEntry(entry, follower.changedSinceNanos(), clock.nanoTime())) {
       logServer(entry, entry.draining() ? "draining" : "ready", revision);
     }
   }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/server/ServerDirectory.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/server/ServerDirectory.java
@@ -35,28 +35,46 @@
     this.lastResort = lastResort;
   }
 
-  /** Takes an entry; returns whether it changes what the router believes of the server's life. */
+  /** Takes an entry that was written just now. */
   public boolean onEntry(ServerEntry entry, long nowNanos) {
+    return onEntry(entry, nowNanos, nowNanos);
+  }
+
+  /**
+   * Takes an entry; returns whether it changes what the router believes of the server's life.
+   *
+   * @param sinceNanos the earliest moment at which it may have been written
+   */
+  public boolean onEntry(ServerEntry entry, long sinceNanos, long nowNanos) {
     ServerState known = servers.get(entry.id());
     if (known == null) {
-      ServerState added = new ServerState(entry, lastResort, nowNanos);
+      ServerState added = new ServerState(entry, lastResort, sinceNanos, nowNanos);
       servers.put(entry.id(), added);
       byService.put(entry.service(), added);
       return true;
     }
     ServerStatus before = known.status();
-    known.onEntry(entry, nowNanos);
+    known.onEntry(entry, sinceNanos, nowNanos);
     return before != known.status();
   }
 
-  /** Notes that a server's entry has gone; returns whether the server was known. */
+  /** Notes that a server's entry has gone just now; returns whether the server was known. */
   public boolean onGone(String id, long nowNanos) {
+    return onGone(id, nowNanos, nowNanos);
+  }
+
+  /**
+   * Notes that a server's entry has gone; returns whether the server was known.
+   *
+   * @param sinceNanos from when its absence is counted
+   */
+  public boolean onGone(String id, long sinceNanos, long nowNanos) {
     forgetOld(nowNanos);
     ServerState known = servers.get(id);
     if (known == null) {
       return false;
     }
-    known.onGone(nowNanos);
+    known.onGone(sinceNanos);
     return true;
   }
 
--- a/arrowarch-core/src/main/java/io/arrowarch/core/server/ServerState.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/server/ServerState.java
@@ -41,12 +41,13 @@
    * Creates what is known of a server at first.
    *
    * @param lastResort how long it is still used when it is leaving and its service has no other
+   * @param sinceNanos the earliest moment at which the entry may have been written
    */
-  ServerState(ServerEntry entry, Duration lastResort, long nowNanos) {
+  ServerState(ServerEntry entry, Duration lastResort, long sinceNanos, long nowNanos) {
     this.entry = entry;
     this.lastResort = lastResort;
-    this.statusSinceNanos = nowNanos;
-    onEntry(entry, nowNanos);
+    this.statusSinceNanos = sinceNanos;
+    onEntry(entry, sinceNanos, nowNanos);
   }
 
   /** The newest entry. */
@@ -142,19 +143,19 @@
     return nowNanos < warmAtNanos ? Math.max(COLD_SLOWNESS, remembered) : remembered;
   }
 
-  /** Takes a newer entry of the same incarnation. */
-  void onEntry(ServerEntry newer, long nowNanos) {
+  /** Takes a newer entry of the same incarnation, written at this moment or later. */
+  void onEntry(ServerEntry newer, long sinceNanos, long nowNanos) {
     entry = newer;
     warmAtNanos = nowNanos + newer.warmUpLeft().toNanos();
     if (status != ServerStatus.REPLACED) {
-      setStatus(newer.draining() ? ServerStatus.DRAINING : ServerStatus.READY, nowNanos);
+      setStatus(newer.draining() ? ServerStatus.DRAINING : ServerStatus.READY, sinceNanos);
     }
   }
 
-  /** Notes that its entry has gone. */
-  void onGone(long nowNanos) {
+  /** Notes that its entry has gone at this moment. */
+  void onGone(long sinceNanos) {
     if (status == ServerStatus.READY) {
-      setStatus(ServerStatus.GONE, nowNanos);
+      setStatus(ServerStatus.GONE, sinceNanos);
     }
   }
 
--- /dev/null
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/feed/ChangeDatesTest.java
@@ -0,0 +1,156 @@
+package io.arrowarch.core.feed;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import io.arrowarch.core.FakeClock;
+import io.arrowarch.core.time.TimerQueue;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Random;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** When the changes that a follower tells may have been made. */
+public final class ChangeDatesTest {
+  private static final Duration APPLY = Duration.ofSeconds(5);
+  private static final Duration MOMENT = Duration.ofMillis(10);
+  private static final String PEER = "10.0.0.2:7400";
+
+  private FakeClock clock;
+  private TimerQueue timers;
+  private RecordingFeedTransport transport;
+  private StoreFollower follower;
+
+  @BeforeMethod
+  public void create() {
+    clock = new FakeClock();
+    clock.advance(Duration.ofSeconds(100));
+    timers = new TimerQueue();
+    transport = new RecordingFeedTransport();
+    follower =
+        new StoreFollower(
+            transport,
+            new IgnoringListener(),
+            clock,
+            timers,
+            new Random(1),
+            new FeedBounds(Duration.ofSeconds(4), APPLY),
+            () -> false);
+    follower.start();
+  }
+
+  private void pass(Duration time) {
+    clock.advance(time);
+    timers.runDue(clock.nanoTime());
+  }
+
+  private void answer(long revision) {
+    follower.onAnswer(transport.call, new FeedAnswer(ImmutableList.of(), revision, false));
+  }
+
+  private Duration changeAge() {
+    return Duration.ofNanos(clock.nanoTime() - follower.changedSinceNanos());
+  }
+
+  private Duration deletionAge() {
+    return Duration.ofNanos(clock.nanoTime() - follower.deletedSinceNanos());
+  }
+
+  @Test
+  public void whatTheFirstListingTellsMayBeOfAnyAge() {
+    pass(MOMENT);
+    answer(100);
+    assertThat(changeAge()).isGreaterThan(Duration.ofDays(1));
+  }
+
+  @Test
+  public void aWatchThatHasWaitedTellsWhatIsNew() {
+    answer(100);
+    pass(Duration.ofSeconds(9));
+    answer(101);
+    assertThat(changeAge()).isZero();
+    assertThat(deletionAge()).isZero();
+  }
+
+  @Test
+  public void aWatchThatIsAnsweredAtOnceTellsWhatIsNewSinceTheLastAnswer() {
+    answer(100);
+    pass(Duration.ofSeconds(9));
+    follower.onAnswer(
+        transport.call,
+        new FeedAnswer(
+            ImmutableList.of(new FeedItem("k", 101, Optional.of(new FeedEntry.Unknown()), "")),
+            101,
+            false));
+    pass(Duration.ofMillis(1_250));
+    pass(MOMENT);
+    answer(102);
+    assertThat(changeAge()).isEqualTo(Duration.ofMillis(1_250).plus(MOMENT));
+  }
+
+  @Test
+  public void whatAPeerTellsARefusedRouterMayBeAsOldAsItsLastAnswer() {
+    answer(100);
+    pass(Duration.ofSeconds(9));
+    answer(101);
+    pass(MOMENT);
+    follower.onFailure(transport.call, FeedFailure.UNAVAILABLE);
+    pass(Duration.ofSeconds(2));
+    follower.onPeerRevision(105, PEER, true);
+    pass(Duration.ofMillis(300));
+    follower.onPeerListing(new FeedAnswer(ImmutableList.of(), 105, false));
+    assertThat(changeAge()).isEqualTo(Duration.ofMillis(2_310));
+    assertThat(deletionAge()).isEqualTo(Duration.ofMillis(300));
+  }
+
+  @Test
+  public void whatLapsedWhileTheStoreWasAwayForAllCountsFromItsNews() {
+    answer(100);
+    pass(Duration.ofSeconds(9));
+    answer(101);
+    pass(MOMENT);
+    follower.onFailure(transport.call, FeedFailure.HISTORY_GONE);
+    pass(Duration.ofSeconds(3));
+    answer(110);
+    assertThat(changeAge()).isGreaterThan(Duration.ofSeconds(3));
+    assertThat(deletionAge()).isZero();
+  }
+
+  @Test
+  public void aRouterThatStaysBehindAsksOtherZonesToo() {
+    answer(100);
+    follower.onFailure(transport.call, FeedFailure.UNAVAILABLE);
+    follower.onPeerRevision(105, PEER, false);
+    assertThat(transport.calls).doesNotContain("list from " + PEER);
+    pass(StoreFollower.PATIENCE_FOR_NEAR_PEERS);
+    follower.onPeerRevision(105, PEER, false);
+    assertThat(transport.calls).contains("list from " + PEER);
+  }
+
+  private static final class IgnoringListener implements FeedListener {
+    @Override
+    public void onWritten(String key, FeedEntry entry, long revision) {}
+
+    @Override
+    public void onDeleted(String key, long revision) {}
+
+    @Override
+    public void onListed(long revision) {}
+
+    @Override
+    public void onLost(FeedFailure failure) {}
+
+    @Override
+    public void onBehind(long revision) {}
+
+    @Override
+    public void onListedByPeer(long revision) {}
+
+    @Override
+    public void onPeerListingFailed() {}
+
+    @Override
+    public void onRegained() {}
+  }
+}
--- /dev/null
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/feed/RecordingFeedTransport.java
@@ -0,0 +1,37 @@
+package io.arrowarch.core.feed;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** Calls of a store that wait for the test to answer them. */
+final class RecordingFeedTransport implements FeedTransport {
+  final List<String> calls = new ArrayList<>();
+  long call;
+  Duration lastWait = Duration.ZERO;
+  Duration lastTimeout = Duration.ZERO;
+
+  @Override
+  public void list(long number, Optional<String> afterKey, Duration timeout) {
+    call = number;
+    calls.add("list" + afterKey.map(key -> " after " + key).orElse(""));
+  }
+
+  @Override
+  public void watch(long number, long afterRevision, Duration wait, Duration timeout) {
+    call = number;
+    lastWait = wait;
+    lastTimeout = timeout;
+    calls.add("watch after " + afterRevision);
+  }
+
+  @Override
+  public void listFromPeer(String address) {
+    calls.add("list from " + address);
+  }
+
+  String last() {
+    return calls.get(calls.size() - 1);
+  }
+}
--- a/arrowarch-core/src/test/java/io/arrowarch/core/feed/StoreFollowerTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/feed/StoreFollowerTest.java
@@ -19,7 +19,7 @@
 
   private FakeClock clock;
   private TimerQueue timers;
-  private RecordingTransport transport;
+  private RecordingFeedTransport transport;
   private RecordingListener listener;
   private StoreFollower follower;
   private Duration apply;
@@ -29,7 +29,7 @@
   public void create() {
     clock = new FakeClock();
     timers = new TimerQueue();
-    transport = new RecordingTransport();
+    transport = new RecordingFeedTransport();
     listener = new RecordingListener();
     apply = Duration.ofSeconds(1);
     lookout = true;
@@ -325,36 +325,6 @@
     return new FeedItem(key, revision, Optional.empty(), "");
   }
 
-  private static final class RecordingTransport implements FeedTransport {
-    private final List<String> calls = new ArrayList<>();
-    private long call;
-    private Duration lastWait = Duration.ZERO;
-    private Duration lastTimeout = Duration.ZERO;
-
-    @Override
-    public void list(long number, Optional<String> afterKey, Duration timeout) {
-      call = number;
-      calls.add("list" + afterKey.map(key -> " after " + key).orElse(""));
-    }
-
-    @Override
-    public void watch(long number, long afterRevision, Duration wait, Duration timeout) {
-      call = number;
-      lastWait = wait;
-      lastTimeout = timeout;
-      calls.add("watch after " + afterRevision);
-    }
-
-    @Override
-    public void listFromPeer(String address) {
-      calls.add("list from " + address);
-    }
-
-    String last() {
-      return calls.get(calls.size() - 1);
-    }
-  }
-
   private static final class RecordingListener implements FeedListener {
     private final List<String> lines = new ArrayList<>();
 
--- a/arrowarch-core/src/test/java/io/arrowarch/core/server/EvacuationTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/server/EvacuationTest.java
@@ -19,8 +19,7 @@
   }
 
   private void add(String id, String zone) {
-    directory.onEntry(
-        new ServerEntry(id, "s", "10.0.0.1:80", zone, 2, false, Duration.ZERO), 0);
+    directory.onEntry(new ServerEntry(id, "s", "10.0.0.1:80", zone, 2, false, Duration.ZERO), 0);
   }
 
   private List<String> usable() {
--- a/arrowarch-core/src/test/java/io/arrowarch/core/server/ServerStateTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/server/ServerStateTest.java
@@ -142,6 +142,19 @@
     assertThat(usable()).isEmpty();
   }
 
+  @Test
+  public void aServerThatMayHaveBeenLeavingForLongIsNoLastResort() {
+    long nowNanos = clock.nanoTime();
+    long longAgo = nowNanos - LAST_RESORT.toNanos();
+    directory.onEntry(draining("a"), longAgo, nowNanos);
+    directory.onGone("b", longAgo, nowNanos);
+    assertThat(usable()).isEmpty();
+  }
+
+  private static ServerEntry draining(String id) {
+    return new ServerEntry(id, "s", "10.0.0.1:80", "z", 2, true, Duration.ZERO);
+  }
+
   @Test
   public void aServerWhoseEntryHasJustGoneIsUsedBesideTheOthers() {
     directory.onGone("a", clock.nanoTime());
