Cold servers get what they bear; routes with regions reach servers and gatherers there only

What no server may take is refused at once or told as missing. After an evacuation a zone's servers count as cold for the service's time, whatever their entries say yet. Regions of zones come with the settings; choices of servers, second attempts and handing on keep to a route's regions.

--- a/arrowarch-cli/src/main/java/io/arrowarch/cli/ForwardSettingsDocument.java
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/ForwardSettingsDocument.java
@@ -2,11 +2,13 @@
 
 import com.google.common.base.Preconditions;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.io.Files;
 import io.arrowarch.core.config.ConfigurationFault;
 import io.arrowarch.core.config.SchemaReader;
 import io.arrowarch.core.feed.FeedBounds;
+import io.arrowarch.core.forward.ColdServerRules;
 import io.arrowarch.core.forward.ExtraAttemptRules;
 import io.arrowarch.core.forward.ForwardOptions;
 import io.arrowarch.core.forward.Mechanism;
@@ -23,6 +25,7 @@
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 /**
@@ -43,11 +46,14 @@
     Optional<String> storeSilence,
     Optional<String> configurationWithin,
     Optional<String> drainWithin,
+    Optional<Map<String, String>> regions,
+    Optional<ColdServersDocument> coldServers,
     Optional<Integer> maximumRequests,
     ExtraAttemptsDocument extraAttempts,
     Optional<List<String>> without) {
   private static final String SCHEMA = "forward-settings.schema.json";
   private static final String PROCESSOR = "processor";
+  private static final String COLD_SERVERS = "coldServers";
   private static final String DEFAULT_STOP_GRACE = "6s";
   private static final String DEFAULT_STORE_SILENCE = "4s";
   private static final String DEFAULT_APPLY = "3s";
@@ -67,6 +73,18 @@
     }
   }
 
+  /**
+   * By how much all routers together may go beyond what a cold server is said to bear.
+   *
+   * @param overshoot multiple of the rate
+   * @param slack requests a second beside that
+   */
+  public record ColdServersDocument(double overshoot, double slack) {
+    ColdServerRules toRules() {
+      return new ColdServerRules(overshoot, slack);
+    }
+  }
+
   /** Bounds of hedges and retries over all routers. */
   public record ExtraAttemptsDocument(double ratio, double allowance, String window) {
     ExtraAttemptRules toRules() {
@@ -107,6 +125,9 @@
     if (document.processor().isPresent()) {
       requireOnly(ProcessorDocument.class, fields.object(PROCESSOR));
     }
+    if (document.coldServers().isPresent()) {
+      requireOnly(ColdServersDocument.class, fields.object(COLD_SERVERS));
+    }
     return document;
   }
 
@@ -137,6 +158,10 @@
         fields.optionalText("storeSilence"),
         fields.optionalText("configurationWithin"),
         fields.optionalText("drainWithin"),
+        fields.optionalObject("regions").map(JsonFields::textsByName),
+        fields
+            .optionalObject(COLD_SERVERS)
+            .map(cold -> new ColdServersDocument(cold.number("overshoot"), cold.number("slack"))),
         fields.optionalWhole("maximumRequests").map(Math::toIntExact),
         new ExtraAttemptsDocument(
             extraAttempts.number("ratio"),
@@ -174,6 +199,8 @@
             extraAttempts.toRules(),
             DEFAULT_TIME_LEFT,
             storeBounds(),
+            coldServers.map(ColdServersDocument::toRules).orElse(ColdServerRules.EXACT),
+            regions.map(ImmutableMap::copyOf).orElse(ImmutableMap.of()),
             without.orElse(ImmutableList.of()).stream()
                 .map(ForwardSettingsDocument::mechanism)
                 .collect(ImmutableSet.toImmutableSet())));
--- a/arrowarch-cli/src/test/java/io/arrowarch/cli/ForwardSettingsTest.java
+++ b/arrowarch-cli/src/test/java/io/arrowarch/cli/ForwardSettingsTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.arrowarch.core.config.ConfigurationFault;
+import io.arrowarch.core.forward.ColdServerRules;
+import io.arrowarch.core.forward.ForwardOptions;
 import io.arrowarch.core.forward.Mechanism;
 import io.arrowarch.node.forward.ForwardNodeSettings;
 import java.io.IOException;
@@ -10,6 +12,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import org.testng.annotations.Test;
 
 public final class ForwardSettingsTest {
@@ -69,6 +72,25 @@
         .containsExactly("$.storeSilence");
   }
 
+  @Test
+  public void boundsOfColdServersAndRegionsOfZonesAreReadAndChecked() throws IOException {
+    String more =
+        VALID.replace(
+            "\"id\"",
+            "\"coldServers\": {\"overshoot\": 1.5, \"slack\": 5},"
+                + " \"regions\": {\"a\": \"north\"}, \"id\"");
+
+    ForwardOptions options = read(more).toNodeSettings().options();
+    assertThat(options.coldServers()).isEqualTo(new ColdServerRules(1.5, 5));
+    assertThat(options.regions()).containsExactly(Map.entry("a", "north"));
+    assertThat(faults(more.replace("1.5", "-1")))
+        .extracting(ConfigurationFault::path)
+        .containsExactly("$.coldServers.overshoot");
+    assertThat(faults(more.replace("\"north\"", "7")))
+        .extracting(ConfigurationFault::path)
+        .containsExactly("$.regions.a");
+  }
+
   @Test
   public void mechanismsAreLeftOutByName() throws IOException {
     String without = VALID.replace("\"id\"", "\"without\": [\"hedges\"], \"id\"");
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/AttemptSender.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/AttemptSender.java
@@ -38,6 +38,7 @@
   private final ServerDirectory directory;
   private final ServerChooser chooser;
   private final AttemptBudgets budgets;
+  private final ColdServerLimits coldServers;
   private final ServerTransport transport;
   private final EventLog events;
   private final ToIntFunction<String> connectionShare;
@@ -57,6 +58,7 @@
       ForwardOptions options,
       ServerDirectory directory,
       AttemptBudgets budgets,
+      ColdServerLimits coldServers,
       ServerTransport transport,
       EventLog events,
       ToIntFunction<String> connectionShare) {
@@ -66,6 +68,7 @@
     this.options = options;
     this.chooser = new ServerChooser(options.zone(), random);
     this.budgets = budgets;
+    this.coldServers = coldServers;
     this.transport = transport;
     this.events = events;
     this.connectionShare = connectionShare;
@@ -79,15 +82,24 @@
     return budgets;
   }
 
-  List<ServerState> usable(String service) {
-    return directory.usable(service, clock.nanoTime());
+  /** The servers that may take a part now, those that it has tried included. */
+  List<ServerState> usable(PartProgress part) {
+    long nowNanos = clock.nanoTime();
+    List<ServerState> usable = new ArrayList<>();
+    for (ServerState server : directory.usable(part.service(), nowNanos)) {
+      if (options.allows(part.regions(), server.entry().zone())
+          && coldServers.admits(server, nowNanos)) {
+        usable.add(server);
+      }
+    }
+    return usable;
   }
 
   /** The best server for a part that has not been tried and has a connection to spare. */
   Optional<ServerState> choose(PartProgress part, RequestPace pace) {
     int share = connectionShare.applyAsInt(part.service());
     List<ServerState> withRoom = new ArrayList<>();
-    for (ServerState server : usable(part.service())) {
+    for (ServerState server : usable(part)) {
       if (server.openAttempts() < share && !part.hasTried(server)) {
         withRoom.add(server);
       }
@@ -97,7 +109,7 @@
 
   /** Whether a part's untried servers only lack connections. */
   boolean mayWait(PartProgress part) {
-    return usable(part.service()).stream().anyMatch(server -> !part.hasTried(server));
+    return usable(part).stream().anyMatch(server -> !part.hasTried(server));
   }
 
   /** Starts the part as soon as a server of its service has a connection to spare. */
@@ -121,6 +133,7 @@
     logSent(execution, part, server, open, nowNanos);
     sent.put(number, new Sent(execution, part, open));
     part.onSent(open);
+    coldServers.onSent(server, nowNanos);
     directory.onStarted(server.id(), number, nowNanos, stallBasis(execution));
     timers.schedule(attempt.deadlineNanos() + SILENCE_SLACK_NANOS, () -> onSilent(number, attempt));
     transport.send(attempt);
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ConnectionShares.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ConnectionShares.java
@@ -18,6 +18,9 @@
   /** Routers see a gatherer come or go a moment apart; so many more are taken to share. */
   private static final int UNSEEN_GATHERERS = 2;
 
+  /** By how many times more routers may be there than one that has just started knows. */
+  private static final int UNSEEN_WHILE_YOUNG = 8;
+
   private final SearchLayout layout;
   private final Gatherers gatherers;
   private final IntSupplier routers;
@@ -50,6 +53,20 @@
     return Math.max(fewest, Math.min(MAXIMUM_OPEN, (int) share));
   }
 
+  /**
+   * The part of what a cold server of a service bears that is this router's, from 0 to 1. A router
+   * that has just started may not have heard of most others.
+   */
+  double coldServerPart(String service) {
+    OptionalInt gathering =
+        layout.isGathered(service) ? gatherers.sharing(service) : OptionalInt.empty();
+    int sharers =
+        gathering.isPresent()
+            ? gathering.getAsInt() + UNSEEN_GATHERERS
+            : Math.max(1, routers.getAsInt());
+    return 1.0 / (young.getAsBoolean() ? UNSEEN_WHILE_YOUNG * sharers : sharers);
+  }
+
   /**
    * The part of a service's allowance of extra attempts that is this router's, from 0 to 1. Of a
    * shard that others gather it has none.
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/DelegateChooser.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/DelegateChooser.java
@@ -1,6 +1,7 @@
 package io.arrowarch.core.forward;
 
 import com.google.common.collect.ImmutableList;
+import io.arrowarch.core.route.Route;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -25,6 +26,7 @@
   /** A delegate that holds a search for this many objectives stands still. */
   private static final double STALL_OBJECTIVES = 1.25;
 
+  private final ForwardOptions options;
   private final RouterGroup routers;
   private final SearchLayout layout;
   private final Gatherers gatherers;
@@ -36,7 +38,12 @@
   record Choice(NearbyRouter delegate, ImmutableList<String> shards) {}
 
   DelegateChooser(
-      RouterGroup routers, SearchLayout layout, Gatherers gatherers, RandomGenerator random) {
+      ForwardOptions options,
+      RouterGroup routers,
+      SearchLayout layout,
+      Gatherers gatherers,
+      RandomGenerator random) {
+    this.options = options;
     this.routers = routers;
     this.layout = layout;
     this.gatherers = gatherers;
@@ -49,14 +56,14 @@
   }
 
   /** What to hand on of a search, and to whom. */
-  ImmutableList<Choice> choose(ImmutableList<String> shards, Duration objective, long nowNanos) {
+  ImmutableList<Choice> choose(ImmutableList<String> shards, Route route, long nowNanos) {
     if (!layout.isGathered(shards.get(0))) {
       return ImmutableList.of();
     }
     forgetLeft();
     ImmutableList.Builder<Choice> choices = ImmutableList.builder();
     for (ImmutableList<String> group : SearchLayout.groups(shards)) {
-      delegate(group, objective, nowNanos)
+      delegate(group, route, nowNanos)
           .ifPresent(delegate -> choices.add(new Choice(delegate, group)));
     }
     return choices.build();
@@ -71,27 +78,27 @@
     }
   }
 
-  private Optional<NearbyRouter> delegate(
-      ImmutableList<String> group, Duration objective, long nowNanos) {
+  private Optional<NearbyRouter> delegate(ImmutableList<String> group, Route route, long nowNanos) {
     Gatherers.Choice choice = gatherers.of(group);
     if (choice.ownRole() == Gatherers.OwnRole.FIRST) {
       return Optional.empty();
     }
-    Optional<NearbyRouter> first = leastLoaded(choice.first(), objective, nowNanos);
+    Optional<NearbyRouter> first = leastLoaded(choice.first(), route, nowNanos);
     if (first.isPresent() || choice.ownRole() == Gatherers.OwnRole.RESERVE) {
       return first;
     }
-    return leastLoaded(choice.reserve(), objective, nowNanos);
+    return leastLoaded(choice.reserve(), route, nowNanos);
   }
 
   private Optional<NearbyRouter> leastLoaded(
-      List<NearbyRouter> candidates, Duration objective, long nowNanos) {
+      List<NearbyRouter> candidates, Route route, long nowNanos) {
     Optional<NearbyRouter> best = Optional.empty();
     double least = Double.MAX_VALUE;
     for (NearbyRouter router : candidates) {
       DelegateState state = state(router);
       double load = state.load() + random.nextDouble();
-      if (mayTake(state, objective, nowNanos) && load < least) {
+      boolean allowed = options.allows(route.regions(), router.zone());
+      if (allowed && mayTake(state, route.objective(), nowNanos) && load < least) {
         least = load;
         best = Optional.of(router);
       }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/DelegatedSearch.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/DelegatedSearch.java
@@ -45,6 +45,7 @@
         route.objective(),
         route.maximumAttempts(),
         route.priority(),
+        route.regions(),
         parts);
   }
 }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
@@ -36,6 +36,7 @@
   private final HeldRequests held;
   private final SearchLayout layout;
   private final ConnectionShares shares;
+  private final ColdServerLimits coldServers;
   private final AttemptSender sender;
   private final SearchAdmission admission;
   private final PartDelegator delegator;
@@ -72,21 +73,32 @@
         new PartDelegator(
             clock,
             timers,
-            new DelegateChooser(group, layout, gatherers, random),
+            new DelegateChooser(options, group, layout, gatherers, random),
             group.transport(),
             events);
     this.admission = new SearchAdmission(clock, timers, random, options.has(Mechanism.SLOW_START));
     AttemptBudgets budgets =
         new AttemptBudgets(options.extraAttempts(), shares::allowancePart, startNanos);
+    this.coldServers = new ColdServerLimits(options.coldServers(), shares::coldServerPart);
     this.sender =
         new AttemptSender(
-            clock, timers, random, options, directory, budgets, transport, events, shares::share);
+            clock,
+            timers,
+            random,
+            options,
+            directory,
+            budgets,
+            coldServers,
+            transport,
+            events,
+            shares::share);
   }
 
   /** Takes a configuration; requests in progress keep theirs. */
   public void reconfigure(RoutingConfiguration updated) {
     configuration = Optional.of(updated);
     layout.reconfigure(updated);
+    coldServers.reconfigure(updated);
   }
 
   /** The configuration and the servers are known: requests need not be held any more. */
@@ -311,11 +323,11 @@
   private ImmutableList<PartProgress> partsOf(Route route, RouteState state) {
     if (route.target() instanceof RouteTarget.AllShards shards) {
       return shards.services().stream()
-          .map(PartProgress::new)
+          .map(service -> new PartProgress(service, route.regions()))
           .collect(ImmutableList.toImmutableList());
     }
     String service = state.nextService((RouteTarget.OneServer) route.target());
-    return ImmutableList.of(new PartProgress(service));
+    return ImmutableList.of(new PartProgress(service, route.regions()));
   }
 
   private ForwardHandle refuse(
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
@@ -188,7 +188,7 @@
   private int reachableParts() {
     int reachable = 0;
     for (PartProgress part : parts) {
-      if (!sender.usable(part.service()).isEmpty()) {
+      if (!sender.usable(part).isEmpty()) {
         reachable++;
       }
     }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardOptions.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardOptions.java
@@ -1,5 +1,6 @@
 package io.arrowarch.core.forward;
 
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import io.arrowarch.core.feed.FeedBounds;
 import java.time.Duration;
@@ -14,6 +15,8 @@
  * @param extraAttempts bounds of hedges and retries over all routers
  * @param defaultTimeLeft how long a caller is taken to wait that does not say it
  * @param store within what time the store must be followed
+ * @param coldServers bounds of what cold servers get from all routers together
+ * @param regions the region of each zone
  * @param without mechanisms that are left out, for experiments only
  */
 public record ForwardOptions(
@@ -24,8 +27,15 @@
     ExtraAttemptRules extraAttempts,
     Duration defaultTimeLeft,
     FeedBounds store,
+    ColdServerRules coldServers,
+    ImmutableMap<String, String> regions,
     ImmutableSet<Mechanism> without) {
 
+  /** Whether a zone is one in which the servers of a route may be. */
+  boolean allows(ImmutableSet<String> routeRegions, String serverZone) {
+    return routeRegions.isEmpty() || routeRegions.contains(regions.get(serverZone));
+  }
+
   /** Whether a mechanism is in use. */
   public boolean has(Mechanism mechanism) {
     return !without.contains(mechanism);
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardingRouter.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardingRouter.java
@@ -9,12 +9,14 @@
 import io.arrowarch.core.feed.FeedTransport;
 import io.arrowarch.core.feed.StoreFollower;
 import io.arrowarch.core.route.RoutingConfiguration;
+import io.arrowarch.core.route.ServiceSettings;
 import io.arrowarch.core.server.ServerDirectory;
 import io.arrowarch.core.server.ServerEntry;
 import io.arrowarch.core.server.ServerState;
 import io.arrowarch.core.time.RouterClock;
 import io.arrowarch.core.time.TimerQueue;
 import io.vavr.control.Either;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -161,7 +163,7 @@
       logServer(entry, "gone", revision);
     }
     String zone = evacuatedZonesByKey.remove(key);
-    if (zone != null && directory.onEvacuationEnded(zone)) {
+    if (zone != null && directory.onEvacuationEnded(zone, this::warmUpOf, clock.nanoTime())) {
       events.log(new RouterEvent.ZoneChanged(zone, "returned", revision));
     }
   }
@@ -214,6 +216,14 @@
             written.routes().size()));
   }
 
+  private Duration warmUpOf(String service) {
+    return coordinator
+        .configuration()
+        .flatMap(known -> Optional.ofNullable(known.services().get(service)))
+        .map(ServiceSettings::warmUp)
+        .orElse(Duration.ZERO);
+  }
+
   private void onEvacuation(String key, String zone, long revision) {
     evacuatedZonesByKey.put(key, zone);
     if (directory.onEvacuated(zone)) {
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/PartDelegator.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/PartDelegator.java
@@ -46,7 +46,7 @@
   @Override
   public ImmutableList<Handed> handOn(Search search, Listener listener) {
     ImmutableList<DelegateChooser.Choice> choices =
-        chooser.choose(search.shards(), search.route().objective(), clock.nanoTime());
+        chooser.choose(search.shards(), search.route(), clock.nanoTime());
     return choices.stream()
         .map(choice -> send(search, choice, listener))
         .collect(ImmutableList.toImmutableList());
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/PartProgress.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/PartProgress.java
@@ -1,6 +1,7 @@
 package io.arrowarch.core.forward;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import io.arrowarch.core.event.RouterEvent;
 import io.arrowarch.core.server.ServerState;
 import java.time.Duration;
@@ -13,6 +14,7 @@
 /** What has been done for one part of a request: a shard of a search, or the only service. */
 final class PartProgress {
   private final String service;
+  private final ImmutableSet<String> regions;
   private final Set<String> tried = new HashSet<>();
   private final List<OpenAttempt> open = new ArrayList<>();
   private Optional<ServerReply> answer = Optional.empty();
@@ -28,14 +30,24 @@
   /** An attempt that has not ended. */
   record OpenAttempt(ServerAttempt attempt, AttemptPurpose purpose, long startNanos) {}
 
-  PartProgress(String service) {
+  /**
+   * Creates a part for which nothing has been done.
+   *
+   * @param regions where its servers must be; empty where any will do
+   */
+  PartProgress(String service, ImmutableSet<String> regions) {
     this.service = service;
+    this.regions = regions;
   }
 
   String service() {
     return service;
   }
 
+  ImmutableSet<String> regions() {
+    return regions;
+  }
+
   boolean hasTried(ServerState server) {
     return tried.contains(server.id());
   }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/route/Route.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/route/Route.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 
 /**
@@ -14,6 +15,7 @@
  * @param objective the time within which an answer earns its full worth
  * @param maximumAttempts the most servers that one request (of a search: one shard) may run on
  * @param priority rank under overload; 0 is the most urgent
+ * @param regions where servers and gathering routers must be; empty where any will do
  */
 public record Route(
     String name,
@@ -24,6 +26,7 @@
     Duration objective,
     int maximumAttempts,
     int priority,
+    ImmutableSet<String> regions,
     RouteTarget target) {
   public Route {
     requireNonNull(name, "name is null");
@@ -31,6 +34,7 @@
     requireNonNull(pathPrefix, "pathPrefix is null");
     requireNonNull(timeout, "timeout is null");
     requireNonNull(objective, "objective is null");
+    requireNonNull(regions, "regions is null");
     requireNonNull(target, "target is null");
   }
 }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/route/ServiceSettings.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/route/ServiceSettings.java
@@ -1,8 +1,25 @@
 package io.arrowarch.core.route;
 
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+
 /**
  * What a configuration says of one service.
  *
  * @param maximumConnections connections that each server of it takes from all routers together
+ * @param warmUp how long a server is cold after its start
+ * @param coldRequestsPerSecond what a cold server bears; 0 where no bound is told
  */
-public record ServiceSettings(String name, int maximumConnections) {}
+public record ServiceSettings(
+    String name, int maximumConnections, Duration warmUp, double coldRequestsPerSecond) {
+  public ServiceSettings {
+    requireNonNull(name, "name is null");
+    requireNonNull(warmUp, "warmUp is null");
+  }
+
+  /** Settings of a service whose servers are never cold. */
+  public static ServiceSettings ofConnections(String name, int maximumConnections) {
+    return new ServiceSettings(name, maximumConnections, Duration.ZERO, 0);
+  }
+}
--- a/arrowarch-core/src/main/java/io/arrowarch/core/server/ServerDirectory.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/server/ServerDirectory.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 
 /** The servers that a router knows, by id and by service. Owned by one router; not thread-safe. */
 public final class ServerDirectory {
@@ -88,9 +89,23 @@
     return evacuatedZones.add(zone);
   }
 
-  /** The servers of a zone may be used again; returns whether that is news. */
-  public boolean onEvacuationEnded(String zone) {
-    return evacuatedZones.remove(zone);
+  /**
+   * The servers of a zone may be used again; returns whether that is news. They may have turned
+   * cold before their entries say so.
+   *
+   * @param warmUpOf how long a server of a service is cold
+   */
+  public boolean onEvacuationEnded(
+      String zone, Function<String, Duration> warmUpOf, long nowNanos) {
+    if (!evacuatedZones.remove(zone)) {
+      return false;
+    }
+    for (ServerState server : servers.values()) {
+      if (server.entry().zone().equals(zone)) {
+        server.onCold(warmUpOf.apply(server.entry().service()), nowNanos);
+      }
+    }
+    return true;
   }
 
   /** The zones whose servers get nothing. */
--- a/arrowarch-core/src/main/java/io/arrowarch/core/server/ServerState.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/server/ServerState.java
@@ -99,6 +99,16 @@
     return nowNanos - statusSinceNanos < lastResort.toNanos();
   }
 
+  /** Whether it is still cold after a start, so that it is slow and bears little. */
+  public boolean isCold(long nowNanos) {
+    return nowNanos < warmAtNanos;
+  }
+
+  /** Notes that it may be cold for some time from now on. */
+  void onCold(Duration length, long nowNanos) {
+    warmAtNanos = Math.max(warmAtNanos, nowNanos + length.toNanos());
+  }
+
   /** For how long it has stood still beyond what is normal; 0 when it does not. */
   public long stalledNanos(long nowNanos) {
     return openAttempts.stalledNanos(nowNanos);
@@ -140,7 +150,7 @@
   private double lastingSlowness(long nowNanos) {
     double halfLives = (double) (nowNanos - slownessNanos) / SPEED_HALF_LIFE.toNanos();
     double remembered = 1 + (slowness - 1) * Math.pow(0.5, halfLives);
-    return nowNanos < warmAtNanos ? Math.max(COLD_SLOWNESS, remembered) : remembered;
+    return isCold(nowNanos) ? Math.max(COLD_SLOWNESS, remembered) : remembered;
   }
 
   /** Takes a newer entry of the same incarnation, written at this moment or later. */
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/ForwardFixture.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/ForwardFixture.java
@@ -42,6 +42,12 @@
   final ForwardCoordinator coordinator;
   private int nextRequest = 1;
 
+  /** Of routes that are set from now on. */
+  ImmutableSet<String> regions = ImmutableSet.of();
+
+  /** What cold servers of services that are set from now on bear; 0 is no bound. */
+  double coldRequestsPerSecond;
+
   ForwardFixture() {
     this(4);
   }
@@ -69,6 +75,8 @@
                 new ExtraAttemptRules(0.2, 56, Duration.ofSeconds(10)),
                 Duration.ofSeconds(5),
                 new FeedBounds(Duration.ofSeconds(4), Duration.ofSeconds(3)),
+                new ColdServerRules(1.5, 5),
+                ImmutableMap.of("zone-a", "north", "zone-b", "south"),
                 ImmutableSet.of()),
             clock,
             timers,
@@ -98,10 +106,13 @@
   }
 
   private void route(long version, boolean repeatable, RouteTarget target) {
-    Route route = new Route("route", "host", "/", repeatable, TIMEOUT, OBJECTIVE, 2, 0, target);
+    Route route =
+        new Route("route", "host", "/", repeatable, TIMEOUT, OBJECTIVE, 2, 0, regions, target);
     ImmutableMap.Builder<String, ServiceSettings> settings = ImmutableMap.builder();
     for (String service : List.of("s", "s1", "s2", "s3", "s4", "s5", "s6")) {
-      settings.put(service, new ServiceSettings(service, CONNECTIONS));
+      settings.put(
+          service,
+          new ServiceSettings(service, CONNECTIONS, Duration.ofSeconds(3), coldRequestsPerSecond));
     }
     coordinator.reconfigure(
         new RoutingConfiguration(
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/GatherersTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/GatherersTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import io.arrowarch.core.FakeClock;
 import io.arrowarch.core.feed.FeedBounds;
@@ -136,6 +137,8 @@
             new ExtraAttemptRules(0.2, 56, Duration.ofSeconds(10)),
             Duration.ofSeconds(5),
             new FeedBounds(Duration.ofSeconds(4), Duration.ofSeconds(3)),
+            ColdServerRules.EXACT,
+            ImmutableMap.of(),
             ImmutableSet.of());
     return new Gatherers(
             options,
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/LookoutsTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/LookoutsTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import io.arrowarch.core.feed.FeedBounds;
 import java.time.Duration;
@@ -65,6 +66,8 @@
             new ExtraAttemptRules(0.2, 56, Duration.ofSeconds(10)),
             Duration.ofSeconds(5),
             new FeedBounds(Duration.ofSeconds(4), Duration.ofSeconds(3)),
+            ColdServerRules.EXACT,
+            ImmutableMap.of(),
             ImmutableSet.of());
     RouterGroup group = new FixedRouterGroup(1 + others.size(), others);
     return new Lookouts(options, group).includesSelf();
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/SearchLayoutTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/SearchLayoutTest.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import io.arrowarch.core.route.CallerLimits;
 import io.arrowarch.core.route.Route;
 import io.arrowarch.core.route.RouteTarget;
@@ -65,7 +66,7 @@
   static SearchLayout layout(int routers, ImmutableList<String> shards, int connections) {
     SearchLayout layout = new SearchLayout(() -> routers, true);
     ImmutableMap.Builder<String, ServiceSettings> services = ImmutableMap.builder();
-    shards.forEach(shard -> services.put(shard, new ServiceSettings(shard, connections)));
+    shards.forEach(shard -> services.put(shard, ServiceSettings.ofConnections(shard, connections)));
     Route route =
         new Route(
             "search",
@@ -76,6 +77,7 @@
             Duration.ofMillis(200),
             2,
             0,
+            ImmutableSet.of(),
             new RouteTarget.AllShards(shards, 50, 0.9));
     layout.reconfigure(
         new RoutingConfiguration(
--- a/arrowarch-core/src/test/java/io/arrowarch/core/route/RoutingConfigurationTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/route/RoutingConfigurationTest.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import java.util.Optional;
 import org.testng.annotations.Test;
@@ -58,6 +59,7 @@
         Duration.ofSeconds(1),
         2,
         0,
+        ImmutableSet.of(),
         new RouteTarget.OneServer(ImmutableList.of(new RouteTarget.WeightedService("service", 1))));
   }
 }
--- a/arrowarch-core/src/test/java/io/arrowarch/core/server/EvacuationTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/server/EvacuationTest.java
@@ -8,6 +8,8 @@
 import org.testng.annotations.Test;
 
 public final class EvacuationTest {
+  private static final Duration WARM_UP = Duration.ofSeconds(3);
+
   private ServerDirectory directory;
 
   @BeforeMethod
@@ -43,8 +45,17 @@
   @Test
   public void theyComeBackWhenTheEvacuationIsTakenBack() {
     directory.onEvacuated("zone-a");
-    assertThat(directory.onEvacuationEnded("zone-a")).isTrue();
-    assertThat(directory.onEvacuationEnded("zone-a")).isFalse();
+    assertThat(directory.onEvacuationEnded("zone-a", service -> WARM_UP, 0)).isTrue();
+    assertThat(directory.onEvacuationEnded("zone-a", service -> WARM_UP, 0)).isFalse();
     assertThat(usable()).containsExactly("a", "b", "c");
   }
+
+  @Test
+  public void theyMayBeColdThen() {
+    directory.onEvacuated("zone-a");
+    directory.onEvacuationEnded("zone-a", service -> WARM_UP, 0);
+    assertThat(directory.find("a").orElseThrow().isCold(WARM_UP.toNanos() - 1)).isTrue();
+    assertThat(directory.find("a").orElseThrow().isCold(WARM_UP.toNanos())).isFalse();
+    assertThat(directory.find("c").orElseThrow().isCold(0)).isFalse();
+  }
 }
--- a/arrowarch-node/src/main/java/io/arrowarch/node/JsonFields.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/JsonFields.java
@@ -15,6 +15,7 @@
 import com.fasterxml.jackson.jr.stree.JrsString;
 import com.fasterxml.jackson.jr.stree.JrsValue;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import java.io.IOException;
 import java.util.Optional;
@@ -117,6 +118,13 @@
     return value(name).map(found -> new JsonFields(as(JrsObject.class, name, found)));
   }
 
+  /** All fields as texts, by name. */
+  public ImmutableMap<String, String> textsByName() {
+    ImmutableMap.Builder<String, String> texts = ImmutableMap.builder();
+    names().forEach(name -> texts.put(name, text(name)));
+    return texts.buildOrThrow();
+  }
+
   /** A list of texts; empty when there is none. */
   public ImmutableList<String> texts(String name) {
     return elements(name, element -> as(JrsString.class, name, element).asText());
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardWarmUp.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardWarmUp.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import io.arrowarch.core.event.EventLog;
 import io.arrowarch.core.feed.FeedTransport;
 import io.arrowarch.core.forward.ForwardOptions;
@@ -195,6 +196,7 @@
             TIME_LEFT,
             2,
             0,
+            ImmutableSet.of(),
             new RouteTarget.AllShards(shards, RECORDS, 1));
     router
         .coordinator()
--- a/arrowarch-node/src/test/java/io/arrowarch/node/forward/DelegateClientTest.java
+++ b/arrowarch-node/src/test/java/io/arrowarch/node/forward/DelegateClientTest.java
@@ -3,9 +3,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import io.arrowarch.core.event.EventLog;
 import io.arrowarch.core.feed.FeedBounds;
+import io.arrowarch.core.forward.ColdServerRules;
 import io.arrowarch.core.forward.DelegateReply;
 import io.arrowarch.core.forward.DelegatedSearch;
 import io.arrowarch.core.forward.ExtraAttemptRules;
@@ -127,6 +129,8 @@
             new ExtraAttemptRules(0, 0, Duration.ofSeconds(10)),
             TIME_LEFT,
             new FeedBounds(TIME_LEFT, TIME_LEFT),
+            ColdServerRules.EXACT,
+            ImmutableMap.of(),
             ImmutableSet.of()),
         new SystemClock(),
         new TimerQueue(),
