A router that hands searches on warms up only what it needs for that

Change: the warm-up waits until the role is known (other routers have told their list, 2.5 s after the start at last) and runs by role: whole searches where every router asks all servers or this one gathers, 24 searches of two shards through a second router where it hands on. Servers of the first listing have no log line each.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
@@ -1,6 +1,7 @@
 package io.arrowarch.core.forward;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import io.arrowarch.core.error.ErrorKind;
 import io.arrowarch.core.error.Executed;
 import io.arrowarch.core.error.QueryError;
@@ -35,6 +36,7 @@
   private final EventLog events;
   private final HeldRequests held;
   private final SearchLayout layout;
+  private final Gatherers gatherers;
   private final ConnectionShares shares;
   private final ColdServerLimits coldServers;
   private final AttemptSender sender;
@@ -67,7 +69,7 @@
     this.startNanos = clock.nanoTime();
     this.held = new HeldRequests(clock, timers, options.maximumRequests(), this::refuseHeld);
     this.layout = new SearchLayout(group::count, options.has(Mechanism.DELEGATION));
-    Gatherers gatherers = new Gatherers(options, group, layout, new ZoneCoverage(directory), clock);
+    this.gatherers = new Gatherers(options, group, layout, new ZoneCoverage(directory), clock);
     this.shares = new ConnectionShares(layout, gatherers, group::count, this::isYoung);
     this.delegator =
         new PartDelegator(
@@ -132,9 +134,16 @@
     return inProgress;
   }
 
-  /** Whether some routers gather searches for the others here. */
-  public boolean gathersSearches() {
-    return layout.gathersAny();
+  /** What this router is for searches, as far as it knows the configuration and the others. */
+  public SearchRole searchRole() {
+    ImmutableSet<ImmutableList<String>> gathered = layout.gatheredGroups();
+    if (gathered.isEmpty()) {
+      return SearchRole.ALONE;
+    }
+    boolean gathers =
+        gathered.stream()
+            .anyMatch(group -> gatherers.of(group).ownRole() != Gatherers.OwnRole.NONE);
+    return gathers ? SearchRole.GATHERS : SearchRole.HANDS_ON;
   }
 
   /** Attempts that this router may have open at one server of a service. */
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardingRouter.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardingRouter.java
@@ -238,7 +238,9 @@
 
   private void onServer(String key, ServerEntry entry, long revision) {
     entriesByKey.put(key, entry);
-    if (directory.onEntry(entry, follower.changedSinceNanos(), clock.nanoTime())) {
+    boolean changed = directory.onEntry(entry, follower.changedSinceNanos(), clock.nanoTime());
+    // The first listing has one line in all: hundreds would take a good part of a start.
+    if (changed && (follower.hasListed() || entry.draining())) {
       logServer(entry, entry.draining() ? "draining" : "ready", revision);
     }
   }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/SearchLayout.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/SearchLayout.java
@@ -1,6 +1,7 @@
 package io.arrowarch.core.forward;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import io.arrowarch.core.route.Route;
 import io.arrowarch.core.route.RouteTarget;
 import io.arrowarch.core.route.RoutingConfiguration;
@@ -84,9 +85,11 @@
         && Math.round(WANTED_CONNECTIONS * routers.getAsInt() / used(service)) > 1;
   }
 
-  /** Whether any search of the configuration is gathered. */
-  boolean gathersAny() {
-    return groupOfShard.keySet().stream().anyMatch(this::isGathered);
+  /** The groups of shards that some routers gather for the others. */
+  ImmutableSet<ImmutableList<String>> gatheredGroups() {
+    return groupOfShard.values().stream()
+        .filter(group -> isGathered(group.get(0)))
+        .collect(ImmutableSet.toImmutableSet());
   }
 
   /** How many routers have enough connections to a shard's servers to gather it. */
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardWarmUp.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardWarmUp.java
@@ -47,12 +47,6 @@
 final class ForwardWarmUp {
   static final String LOOPBACK = "127.0.0.1";
   private static final String HOST = "warm-up";
-  private static final int SHARDS = 20;
-  private static final int SEARCHES = 80;
-
-  /** Beside what the other searches warm there is little left to do for one that is handed on. */
-  private static final int SEARCHES_HANDED_ON = 30;
-
   private static final int AT_ONCE = 4;
   private static final int LISTINGS = 3;
   private static final int OK = 200;
@@ -68,7 +62,7 @@
   private final FeedCodec feedCodec;
   private final WarmUpCodec codec;
   private final BooleanSupplier needless;
-  private final boolean handOn;
+  private final WarmUpPlan plan;
   private final TimerQueue timers = new TimerQueue();
   private final ForwardingRouter router;
   private final CallerServer callers;
@@ -85,8 +79,6 @@
    * Prepares a warm-up.
    *
    * @param needless says that callers' requests warm the process themselves and must not wait
-   * @param handOn whether searches go through a further router, as in fleets where some routers
-   *     gather for the others
    */
   ForwardWarmUp(
       Vertx vertx,
@@ -97,10 +89,10 @@
       FeedCodec feedCodec,
       WarmUpCodec codec,
       BooleanSupplier needless,
-      boolean handOn) {
+      WarmUpPlan plan) {
     this.feedCodec = feedCodec;
     this.needless = needless;
-    this.handOn = handOn;
+    this.plan = plan;
     this.codec = codec;
     EventLoopDriver driver =
         new EventLoopDriver(
@@ -151,7 +143,7 @@
         .compose(
             bound -> {
               address = bound;
-              return handOn ? origin.listen() : Future.succeededFuture(bound);
+              return plan.handedOn() ? origin.listen() : Future.succeededFuture(bound);
             })
         .compose(
             bound -> {
@@ -167,9 +159,9 @@
     return router;
   }
 
-  private static void configure(ForwardingRouter router, int port) {
+  private void configure(ForwardingRouter router, int port) {
     ImmutableList<String> shards =
-        IntStream.range(0, SHARDS)
+        IntStream.range(0, plan.shards())
             .mapToObj(shard -> "shard-" + shard)
             .collect(ImmutableList.toImmutableList());
     for (String shard : shards) {
@@ -208,8 +200,7 @@
   }
 
   private void search() {
-    boolean enough =
-        sent >= (handOn ? SEARCHES_HANDED_ON : SEARCHES) || System.nanoTime() >= endNanos;
+    boolean enough = sent >= plan.searches() || System.nanoTime() >= endNanos;
     if (enough || needless.getAsBoolean()) {
       if (answered == sent) {
         ended.tryComplete(answered);
@@ -250,7 +241,7 @@
     return client
         .close()
         .eventually(callers::close)
-        .eventually(() -> handOn ? origin.close() : Future.succeededFuture())
+        .eventually(() -> plan.handedOn() ? origin.close() : Future.succeededFuture())
         .eventually(() -> backend.shutdown(LAST_CLOSE.toMillis(), TimeUnit.MILLISECONDS));
   }
 
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
@@ -6,6 +6,7 @@
 import io.arrowarch.core.forward.ForwardingRouter;
 import io.arrowarch.core.forward.Mechanism;
 import io.arrowarch.core.forward.RouterPeers;
+import io.arrowarch.core.forward.SearchRole;
 import io.arrowarch.core.peer.MemberRecord;
 import io.arrowarch.core.time.TimerQueue;
 import io.arrowarch.node.EventLoopDriver;
@@ -33,6 +34,7 @@
   private static final String METRICS_PATH = "/metrics";
   private static final Duration CONNECTION_SWEEP = Duration.ofMillis(200);
   private static final Duration FIRST_WORK_POLL = Duration.ofMillis(10);
+  private static final Duration ROLE_POLL = Duration.ofMillis(50);
 
   /** A process that cannot read the store warms up meanwhile. */
   private static final Duration LATEST_WARM_UP = Duration.ofSeconds(1);
@@ -49,8 +51,8 @@
 
   private static final int EARLY_LINES_AT_ONCE = 3;
 
-  /** Fewer searches than these leave much code that is not compiled. */
-  private static final int SEARCHES_WHEN_WARM = 40;
+  /** Routers that have started together know nearly all others after this. */
+  private static final Duration TIME_TO_KNOW_FLEET = Duration.ofMillis(2_500);
 
   private static final int OK = 200;
   private static final int UNAVAILABLE = 503;
@@ -196,7 +198,7 @@
                 context.runOnContext(
                     ignored -> {
                       peers.rehearse();
-                      warmUps.run(true).onComplete(loaded);
+                      warmUps.run(WarmUpPlan.handingOn()).onComplete(loaded);
                     }));
     return loaded.future();
   }
@@ -262,15 +264,34 @@
     listedNanos = System.nanoTime();
     // Others may be needed for the first searches already.
     driver.run(peers::start);
-    boolean wanted = settings.options().has(Mechanism.WARM_UP);
-    if (!wanted || callers.connectionCount() > 0) {
-      onWarm(0);
+    if (!settings.options().has(Mechanism.WARM_UP)) {
+      onWarm(0, false);
       return;
     }
+    afterStart(
+        ROLE_POLL,
+        TIME_TO_KNOW_FLEET,
+        () -> peers.hasEstablished() || callers.connectionCount() > 0,
+        this::warmUpForRole);
+  }
+
+  /** Who only hands searches on is warm sooner than who asks all servers. */
+  private void warmUpForRole() {
+    if (callers.connectionCount() > 0) {
+      onWarm(0, false);
+      return;
+    }
+    SearchRole role = router.coordinator().searchRole();
+    WarmUpPlan plan = WarmUpPlan.of(role);
     warmUps
-        .run(false)
-        .onSuccess(this::onWarm)
-        .onSuccess(searches -> warmUps.handOnWhen(router.coordinator()::gathersSearches));
+        .run(plan)
+        .onSuccess(searches -> onWarm(searches, plan.isDone(searches)))
+        .onSuccess(
+            searches -> {
+              if (role == SearchRole.ALONE) {
+                warmUps.handOnWhen(() -> router.coordinator().searchRole() != SearchRole.ALONE);
+              }
+            });
   }
 
   /** Runs a task once a condition holds, or some time after the start in any case. */
@@ -291,8 +312,7 @@
    * The log and the first messages to peers load much code. While callers wait for a process that
    * has just started, both have time; what is logged until then is kept.
    */
-  private void onWarm(int searches) {
-    boolean compiled = searches >= SEARCHES_WHEN_WARM;
+  private void onWarm(int searches, boolean compiled) {
     logProcess("warm", searches + " searches");
     if (compiled) {
       driver.run(() -> router.coordinator().onWarm());
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/WarmUps.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/WarmUps.java
@@ -52,12 +52,8 @@
     this.onHandedOn = onHandedOn;
   }
 
-  /**
-   * Runs one; completes with the number of searches answered.
-   *
-   * @param handOn whether they go through a further router
-   */
-  Future<Integer> run(boolean handOn) {
+  /** Runs one; completes with the number of searches answered. */
+  Future<Integer> run(WarmUpPlan plan) {
     return new ForwardWarmUp(
             vertx,
             context,
@@ -67,7 +63,7 @@
             feedCodec,
             codec,
             callersAreThere,
-            handOn)
+            plan)
         .run();
   }
 
@@ -83,7 +79,7 @@
             vertx.cancelTimer(id);
           }
           if (wanted && !late) {
-            run(true).onSuccess(onHandedOn::accept);
+            run(WarmUpPlan.handingOn()).onSuccess(onHandedOn::accept);
           }
         });
   }
