A search below its least coverage goes on while its caller waits

Change: servers work on for half of the time for which the caller is held, two objectives at least; past the objective second attempts go on for a search that could not be answered without them; parts that still wait for a connection then are lost at once, where the search was held to its deadline. The special case of a young router goes.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
@@ -208,16 +208,11 @@
             timeLeft,
             request.timeLeft().map(state::spentBefore).orElse(Duration.ZERO),
             route.target() instanceof RouteTarget.AllShards,
-            isStarting(),
             random.nextDouble());
     boolean firstTry = request.timeLeft().map(state::isFirstTry).orElse(false);
     return run(request, route, times, delegator, firstTry, sink);
   }
 
-  private boolean isStarting() {
-    return !admission.slowStart().isOver(clock.nanoTime());
-  }
-
   private RouteState stateOf(Route route) {
     return routeStates.computeIfAbsent(
         route.host() + route.pathPrefix(), key -> new RouteState(random));
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
@@ -101,7 +101,12 @@
 
   /** Whether its answer could leave before the objective. */
   boolean isInTime() {
-    return !late && partsIn >= minimumParts;
+    return !late && mayBeAnswered();
+  }
+
+  /** Whether the least coverage is in. */
+  boolean mayBeAnswered() {
+    return partsIn >= minimumParts;
   }
 
   Duration objective() {
@@ -151,6 +156,9 @@
       return;
     }
     ownTimers.add(timers.schedule(times.giveUpNanos(), this::onGiveUp));
+    if (isSearch()) {
+      ownTimers.add(timers.schedule(times.attemptDeadlineNanos(), this::onAttemptsDue));
+    }
     if (sender.options().has(Mechanism.PARTIAL_ANSWERS)) {
       ownTimers.add(timers.schedule(times.objectiveNanos(), this::onObjective));
     }
@@ -331,6 +339,15 @@
     }
   }
 
+  /** Parts that still wait for a connection cannot be answered in time any more. */
+  private void onAttemptsDue() {
+    for (PartProgress part : parts) {
+      if (!finished && part.isWaiting()) {
+        lose(part);
+      }
+    }
+  }
+
   private void onGiveUp() {
     if (!finished) {
       finishWithError(ErrorKind.DEADLINE_EXCEEDED, "no answer in time");
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/Hedging.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/Hedging.java
@@ -36,7 +36,8 @@
   /**
    * Prepares hedging.
    *
-   * @param objectiveNanos after which an answer is late, and second attempts are of no use
+   * @param objectiveNanos after which an answer is late, and second attempts are of use only to one
+   *     that could not be given without them
    */
   Hedging(
       ForwardExecution execution,
@@ -72,7 +73,7 @@
 
   private void scheduleCheck(long dueNanos) {
     stop();
-    if (dueNanos < objectiveNanos) {
+    if (dueNanos < objectiveNanos || !execution.mayBeAnswered()) {
       nextCheck = Optional.of(timers.schedule(dueNanos, this::check));
     }
   }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/RequestTimes.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/RequestTimes.java
@@ -28,14 +28,14 @@
   /** The answer must reach the caller before it stops waiting. */
   private static final Duration BEFORE_DEADLINE = Duration.ofMillis(15);
 
-  /** Servers work on for so many objectives, in case the answer has to be late. */
+  /** Servers work on for so many objectives at least, in case the answer has to be late. */
   private static final int OBJECTIVES_FOR_ATTEMPT = 2;
 
   /**
-   * The part of the caller's time for which servers work on while this router is slow itself: what
-   * it waits for is then on its way, and not lost.
+   * The part of the caller's time for which servers work on. A search that lacks a few parts of its
+   * least coverage at two objectives would fail although its caller waits for many more.
    */
-  private static final double SLOW_START_FRACTION = 0.7;
+  private static final double SEARCH_FRACTION = 0.5;
 
   private static final double SHORTEST_RETRY_AFTER = 0.4;
 
@@ -45,7 +45,6 @@
    * @param timeLeft how long the caller will wait, from the arrival
    * @param spent how long before the arrival the caller first asked
    * @param search whether parts that come much later are of no use
-   * @param slowStart whether this router is slow, since it has just started
    * @param random from 0 to 1; spreads callers that are refused together
    */
   static RequestTimes of(
@@ -54,7 +53,6 @@
       Duration timeLeft,
       Duration spent,
       boolean search,
-      boolean slowStart,
       double random) {
     Duration objective = route.objective();
     long way = WAY.toNanos() + (long) (WAY_FRACTION * objective.toNanos());
@@ -62,10 +60,7 @@
     Duration patience = timeLeft.minus(BEFORE_DEADLINE);
     Duration held = patience.compareTo(route.timeout()) < 0 ? patience : route.timeout();
     long giveUpNanos = arrivalNanos + Math.max(1, held.toNanos());
-    long useful = OBJECTIVES_FOR_ATTEMPT * objective.toNanos();
-    if (slowStart) {
-      useful = Math.max(useful, (long) (SLOW_START_FRACTION * held.toNanos()));
-    }
+    long useful = usefulNanos(OBJECTIVES_FOR_ATTEMPT, objective, held);
     long attemptDeadline = search ? Math.min(giveUpNanos, arrivalNanos + useful) : giveUpNanos;
     Duration retryAfter = retryAfter(objective, random);
     return new RequestTimes(arrivalNanos, objectiveNanos, giveUpNanos, attemptDeadline, retryAfter);
@@ -76,7 +71,7 @@
       Route route, long arrivalNanos, DelegatedSearch search, double random) {
     long giveUpNanos = arrivalNanos + Math.max(1, search.timeLeft().toNanos());
     long objectiveNanos = arrivalNanos + search.objectiveLeft().toNanos();
-    long useful = (OBJECTIVES_FOR_ATTEMPT - 1) * route.objective().toNanos();
+    long useful = usefulNanos(OBJECTIVES_FOR_ATTEMPT - 1, route.objective(), search.timeLeft());
     long attemptDeadline = Math.min(giveUpNanos, Math.max(arrivalNanos, objectiveNanos) + useful);
     return new RequestTimes(
         arrivalNanos,
@@ -86,6 +81,10 @@
         retryAfter(route.objective(), random));
   }
 
+  private static long usefulNanos(int objectives, Duration objective, Duration held) {
+    return Math.max(objectives * objective.toNanos(), (long) (SEARCH_FRACTION * held.toNanos()));
+  }
+
   private static Duration retryAfter(Duration objective, double random) {
     double fraction = SHORTEST_RETRY_AFTER + (1 - SHORTEST_RETRY_AFTER) * random;
     return Duration.ofMillis((long) (fraction * objective.toMillis()));
