In a fleet in which some routers gather, processes are not warmed up

Kept: none where searches are gathered; where every router asks all servers itself the warm-up stays (not weighed again there). The second warm-up of large fleets goes; it is still run once to make the archive of classes.

--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
@@ -161,8 +161,7 @@
             attemptCodec,
             feedCodec,
             warmUpCodec,
-            () -> callers.connectionCount() > 0,
-            searches -> logProcess("warm", searches + " searches handed on"));
+            () -> callers.connectionCount() > 0);
     bindMetrics(connections, store, endpoint);
     vertx.setPeriodic(CONNECTION_SWEEP.toMillis(), id -> connections.closeRested());
     // Callers first: what comes before the store is listed is held, not turned away.
@@ -198,7 +197,7 @@
                 context.runOnContext(
                     ignored -> {
                       peers.rehearse();
-                      warmUps.run(WarmUpPlan.handingOn()).onComplete(loaded);
+                      warmUps.run(WarmUpPlan.HANDED_ON).onComplete(loaded);
                     }));
     return loaded.future();
   }
@@ -275,23 +274,18 @@
         this::warmUpForRole);
   }
 
-  /** Who only hands searches on is warm sooner than who asks all servers. */
+  /**
+   * In a fleet in which some routers gather, most run a search in several seconds: there compiling
+   * its code ahead takes 1.4 s of processor and makes the first searches no faster.
+   */
   private void warmUpForRole() {
-    if (callers.connectionCount() > 0) {
+    boolean alone = router.coordinator().searchRole() == SearchRole.ALONE;
+    if (callers.connectionCount() > 0 || !alone) {
       onWarm(0, false);
       return;
     }
-    SearchRole role = router.coordinator().searchRole();
-    WarmUpPlan plan = WarmUpPlan.of(role);
-    warmUps
-        .run(plan)
-        .onSuccess(searches -> onWarm(searches, plan.isDone(searches)))
-        .onSuccess(
-            searches -> {
-              if (role == SearchRole.ALONE) {
-                warmUps.handOnWhen(() -> router.coordinator().searchRole() != SearchRole.ALONE);
-              }
-            });
+    WarmUpPlan plan = WarmUpPlan.WHOLE_SEARCHES;
+    warmUps.run(plan).onSuccess(searches -> onWarm(searches, plan.isDone(searches)));
   }
 
   /** Runs a task once a condition holds, or some time after the start in any case. */
