--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
@@ -428,6 +428,8 @@
     metrics.gauge("arrowarch.connections.failed", connections, ServerConnections::failed);
     metrics.gauge("arrowarch.store.calls", store, StoreClient::calls);
     metrics.gauge("arrowarch.peer.sent.bytes", endpoint, PeerEndpoint::bytesSent);
+    metrics.gauge(
+        "arrowarch.zones.evacuated", router, node -> node.directory().evacuatedZones().size());
     metrics.gauge("arrowarch.ready", router, node -> node.isReady() ? 1 : 0);
     metrics.gauge(
         "arrowarch.requests.in.progress", router, node -> node.coordinator().inProgress());
