ForwardExecution and ForwardingNode split by job; what follows a failure is a type

AfterFailure takes the place of texts that carried a decision, PartMerger merges, OperatorServers answers readiness and metrics. Test listeners of the feed stand once. No behaviour changes; the words in logs are the same.

--- /dev/null
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/AfterFailure.java
@@ -0,0 +1,53 @@
+package io.arrowarch.core.forward;
+
+import io.arrowarch.core.route.Route;
+import java.util.Locale;
+
+/** What follows an attempt that gave no usable answer. */
+enum AfterFailure {
+  /** Another attempt of the part is open. */
+  WAIT,
+  /** The part is sent once more. */
+  RETRY,
+  /** The request may have run and must not run twice. */
+  NOT_REPEATABLE,
+  /** It has run on as many servers as the route allows. */
+  NO_ATTEMPT_LEFT,
+  /** Servers have turned it away so often that one more is not worth asking. */
+  TRIED_OFTEN_ENOUGH,
+  /** Every server that may take it has been tried. */
+  NO_OTHER_SERVER,
+  /** The bounds of extra attempts are spent. */
+  NO_BUDGET;
+
+  /** Decides for a part whose attempt has ended; a retry is paid from the budget. */
+  static AfterFailure of(
+      PartProgress part,
+      boolean mayHaveRun,
+      Route route,
+      RequestPace pace,
+      AttemptSender sender,
+      long nowNanos) {
+    if (!part.open().isEmpty()) {
+      return WAIT;
+    }
+    if (mayHaveRun && !route.repeatable()) {
+      return NOT_REPEATABLE;
+    }
+    if (part.maybeRun() >= route.maximumAttempts()) {
+      return NO_ATTEMPT_LEFT;
+    }
+    if (part.sent() > route.maximumAttempts() + 1) {
+      return TRIED_OFTEN_ENOUGH;
+    }
+    if (sender.choose(part, pace).isEmpty()) {
+      return NO_OTHER_SERVER;
+    }
+    return sender.budgets().tryRetry(part.service(), nowNanos) ? RETRY : NO_BUDGET;
+  }
+
+  /** The words in logs. */
+  String logName() {
+    return name().toLowerCase(Locale.ROOT).replace('_', ' ');
+  }
+}
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
@@ -274,7 +274,7 @@
 
   private void tryAgain(
       PartProgress part, OpenAttempt attempt, String outcome, int status, boolean mayHaveRun) {
-    String next = nextAfterFailure(part, mayHaveRun);
+    AfterFailure next = AfterFailure.of(part, mayHaveRun, route, pace(), sender, clock.nanoTime());
     events.log(
         new RouterEvent.AttemptFailed(
             request.id(),
@@ -284,34 +284,14 @@
             outcome,
             status,
             (clock.nanoTime() - attempt.startNanos()) / NANOS_PER_MILLI,
-            next));
-    if (next.equals("retry")) {
+            next.logName()));
+    if (next == AfterFailure.RETRY) {
       startPart(part);
-    } else if (!next.equals("wait")) {
+    } else if (next != AfterFailure.WAIT) {
       lose(part);
     }
   }
 
-  /** What follows a failed attempt: wait for another that is open, retry, or why neither. */
-  private String nextAfterFailure(PartProgress part, boolean mayHaveRun) {
-    if (!part.open().isEmpty()) {
-      return "wait";
-    }
-    if (mayHaveRun && !route.repeatable()) {
-      return "not repeatable";
-    }
-    if (part.maybeRun() >= route.maximumAttempts()) {
-      return "no attempt left";
-    }
-    if (part.sent() > route.maximumAttempts() + 1) {
-      return "tried often enough";
-    }
-    if (sender.choose(part, pace()).isEmpty()) {
-      return "no other server";
-    }
-    return sender.budgets().tryRetry(part.service(), clock.nanoTime()) ? "retry" : "no budget";
-  }
-
   private void lose(PartProgress part) {
     part.onLost();
     partsLost++;
@@ -355,7 +335,7 @@
   }
 
   private void finishWithAnswer(String reason) {
-    ForwardedAnswer answer = isSearch() ? merge() : passOn();
+    ForwardedAnswer answer = isSearch() ? merged() : passOn();
     boolean partial = partsIn < parts.size();
     finish(partial ? "partial" : "answered", "", reason);
     tell(Either.right(answer));
@@ -365,21 +345,9 @@
     return new ForwardedAnswer.FromServer(parts.get(0).answer().orElseThrow());
   }
 
-  private ForwardedAnswer merge() {
-    List<ServerReply> replies = parts.stream().flatMap(part -> part.answer().stream()).toList();
-    ImmutableList.Builder<String> signatures = ImmutableList.builder();
-    List<Payload> records = new ArrayList<>();
-    for (ServerReply reply : replies) {
-      signatures.add(reply.signature().orElseThrow());
-      records.add(reply.body());
-    }
-    for (ForwardedAnswer.Merged elsewhere : handedParts.answers()) {
-      signatures.addAll(elsewhere.signatures());
-      records.add(elsewhere.records());
-    }
+  private ForwardedAnswer merged() {
     int limit = ((RouteTarget.AllShards) route.target()).limit();
-    return new ForwardedAnswer.Merged(
-        signatures.build(), parts.size() - partsIn, RecordMerger.merge(records, limit));
+    return PartMerger.merge(parts, handedParts.answers(), parts.size() - partsIn, limit);
   }
 
   private void finishHopeless() {
--- /dev/null
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/PartMerger.java
@@ -0,0 +1,36 @@
+package io.arrowarch.core.forward;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Merges the answers of shards, and those that other routers have merged, into one. */
+final class PartMerger {
+  private PartMerger() {}
+
+  /**
+   * The answer of a search.
+   *
+   * @param parts of which those that were answered here are taken
+   * @param elsewhere merged answers of other routers
+   * @param missing shards that are in neither
+   * @param limit the most records
+   */
+  static ForwardedAnswer.Merged merge(
+      List<PartProgress> parts, List<ForwardedAnswer.Merged> elsewhere, int missing, int limit) {
+    ImmutableList.Builder<String> signatures = ImmutableList.builder();
+    List<Payload> records = new ArrayList<>();
+    for (PartProgress part : parts) {
+      if (part.answer().isPresent()) {
+        signatures.add(part.answer().get().signature().orElseThrow());
+        records.add(part.answer().get().body());
+      }
+    }
+    for (ForwardedAnswer.Merged merged : elsewhere) {
+      signatures.addAll(merged.signatures());
+      records.add(merged.records());
+    }
+    return new ForwardedAnswer.Merged(
+        signatures.build(), missing, RecordMerger.merge(records, limit));
+  }
+}
--- a/arrowarch-core/src/test/java/io/arrowarch/core/feed/ChangeDatesTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/feed/ChangeDatesTest.java
@@ -31,7 +31,7 @@
     follower =
         new StoreFollower(
             transport,
-            new IgnoringListener(),
+            new RecordingFeedListener(),
             clock,
             timers,
             new Random(1),
@@ -142,30 +142,4 @@
     @Override
     public void onFailed(String address) {}
   }
-
-  private static final class IgnoringListener implements FeedListener {
-    @Override
-    public void onWritten(String key, FeedEntry entry, long revision) {}
-
-    @Override
-    public void onDeleted(String key, long revision) {}
-
-    @Override
-    public void onListed(long revision) {}
-
-    @Override
-    public void onLost(FeedFailure failure) {}
-
-    @Override
-    public void onBehind(long revision) {}
-
-    @Override
-    public void onListedByPeer(long revision) {}
-
-    @Override
-    public void onPeerListingFailed() {}
-
-    @Override
-    public void onRegained() {}
-  }
 }
--- a/arrowarch-core/src/test/java/io/arrowarch/core/feed/StoreFollowerTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/feed/StoreFollowerTest.java
@@ -20,7 +20,7 @@
   private FakeClock clock;
   private TimerQueue timers;
   private RecordingFeedTransport transport;
-  private RecordingListener listener;
+  private RecordingFeedListener listener;
   private StoreFollower follower;
   private Duration apply;
   private boolean lookout;
@@ -31,7 +31,7 @@
     clock = new FakeClock();
     timers = new TimerQueue();
     transport = new RecordingFeedTransport();
-    listener = new RecordingListener();
+    listener = new RecordingFeedListener();
     apply = Duration.ofSeconds(1);
     lookout = true;
     lookouts.clear();
@@ -422,48 +422,4 @@
       lookouts.remove(address);
     }
   }
-
-  private static final class RecordingListener implements FeedListener {
-    private final List<String> lines = new ArrayList<>();
-
-    @Override
-    public void onWritten(String key, FeedEntry entry, long revision) {
-      lines.add(key + "@" + revision);
-    }
-
-    @Override
-    public void onDeleted(String key, long revision) {
-      lines.add("-" + key + "@" + revision);
-    }
-
-    @Override
-    public void onListed(long revision) {
-      lines.add("listed@" + revision);
-    }
-
-    @Override
-    public void onLost(FeedFailure failure) {
-      lines.add("lost");
-    }
-
-    @Override
-    public void onBehind(long revision) {
-      lines.add("behind@" + revision);
-    }
-
-    @Override
-    public void onListedByPeer(long revision) {
-      lines.add("by peer@" + revision);
-    }
-
-    @Override
-    public void onPeerListingFailed() {
-      lines.add("no listing");
-    }
-
-    @Override
-    public void onRegained() {
-      lines.add("regained");
-    }
-  }
 }
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
@@ -16,8 +16,6 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.VerticleBase;
-import io.vertx.core.http.HttpServer;
-import io.vertx.core.http.HttpServerOptions;
 import java.time.Duration;
 import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
@@ -30,8 +28,6 @@
  * the request to close; idle connections are closed; the process ends when nothing is in progress.
  */
 public final class ForwardingNode extends VerticleBase {
-  private static final String READY_PATH = "/readyz";
-  private static final String METRICS_PATH = "/metrics";
   private static final Duration CONNECTION_SWEEP = Duration.ofMillis(200);
   private static final Duration FIRST_WORK_POLL = Duration.ofMillis(10);
   private static final Duration ROLE_POLL = Duration.ofMillis(50);
@@ -54,8 +50,6 @@
   /** Routers that have started together know nearly all others after this. */
   private static final Duration TIME_TO_KNOW_FLEET = Duration.ofMillis(2_500);
 
-  private static final int OK = 200;
-  private static final int UNAVAILABLE = 503;
   private static final double NANOS_PER_MILLI = 1e6;
 
   private ForwardNodeSettings settings;
@@ -164,6 +158,7 @@
             () -> callers.connectionCount() > 0);
     bindMetrics(connections, store, endpoint);
     vertx.setPeriodic(CONNECTION_SWEEP.toMillis(), id -> connections.closeRested());
+    OperatorServers operators = new OperatorServers(vertx, this::isReady, metrics);
     // Callers first: what comes before the store is listed is held, not turned away.
     return callers
         .listen(settings.callers())
@@ -175,8 +170,9 @@
               peers = createPeers(bound, clock, endpoint);
               driver.run(router::start);
             })
-        .compose(bound -> listenForReadiness())
-        .compose(bound -> listenForMetrics())
+        .compose(bound -> operators.listenForReadiness(settings.readiness()))
+        .onSuccess(bound -> readinessAddress = bound)
+        .compose(bound -> listenForMetrics(operators))
         .onSuccess(bound -> driver.run(this::startDecisions));
   }
 
@@ -366,19 +362,10 @@
         new FollowedRevisions(() -> router.follower()));
   }
 
-  private Future<HttpServer> listenForReadiness() {
-    return vertx
-        .createHttpServer(
-            new HttpServerOptions()
-                .setHost(settings.readiness().host())
-                .setPort(settings.readiness().port()))
-        .requestHandler(
-            request -> {
-              boolean ready = request.path().equals(READY_PATH) && isReady();
-              request.response().setStatusCode(ready ? OK : UNAVAILABLE).end();
-            })
-        .listen()
-        .onSuccess(bound -> readinessAddress = settings.readiness().withPort(bound.actualPort()));
+  private Future<?> listenForMetrics(OperatorServers operators) {
+    return settings.metrics().isPresent()
+        ? operators.listenForMetrics(settings.metrics().get())
+        : Future.succeededFuture();
   }
 
   private boolean isReady() {
@@ -404,24 +391,6 @@
     return warmingNanos > longest.toNanos();
   }
 
-  private Future<?> listenForMetrics() {
-    if (settings.metrics().isEmpty()) {
-      return Future.succeededFuture();
-    }
-    SocketAddressSetting address = settings.metrics().get();
-    return vertx
-        .createHttpServer(new HttpServerOptions().setHost(address.host()).setPort(address.port()))
-        .requestHandler(
-            request -> {
-              if (request.path().equals(METRICS_PATH)) {
-                request.response().end(metrics.scrape());
-              } else {
-                request.response().setStatusCode(404).end();
-              }
-            })
-        .listen();
-  }
-
   private void bindMetrics(
       ServerConnections connections, StoreClient store, PeerEndpoint endpoint) {
     metrics.gauge("arrowarch.connections.opened", connections, ServerConnections::opened);
