--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
@@ -45,7 +45,8 @@
   /** Routers that have started together do this work one after the other. */
   private static final Duration SECOND_WORK_SPREAD = Duration.ofSeconds(5);
 
-  private static final int EARLY_LINES_AT_ONCE = 3;
+  private static final int EARLY_LINES_AT_ONCE = 10;
+  private static final Duration EARLY_LINES_INTERVAL = Duration.ofMillis(50);
 
   /** Routers that have started together know nearly all others after this. */
   private static final Duration TIME_TO_KNOW_FLEET = Duration.ofMillis(2_500);
@@ -307,11 +308,12 @@
     if (compiled) {
       driver.run(() -> router.coordinator().onWarm());
     }
-    afterStart(
-        FIRST_WORK_POLL,
-        LATEST_SECOND_WORK.plusMillis(random.nextLong(SECOND_WORK_SPREAD.toMillis())),
-        () -> compiled,
-        this::openLog);
+    if (compiled) {
+      openLog();
+    } else {
+      long spread = random.nextLong(SECOND_WORK_SPREAD.toMillis());
+      vertx.setTimer(LATEST_SECOND_WORK.toMillis() + spread, id -> openLog());
+    }
     warm.complete(searches);
   }
 
@@ -330,7 +332,7 @@
             prepared -> {
               metrics.open();
               vertx.setPeriodic(
-                  FIRST_WORK_POLL.toMillis(),
+                  EARLY_LINES_INTERVAL.toMillis(),
                   id -> {
                     if (prepared.open(EARLY_LINES_AT_ONCE)) {
                       vertx.cancelTimer(id);
