--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/DelegationTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/DelegationTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import io.arrowarch.core.error.Executed;
 import io.arrowarch.core.route.RouteTarget;
 import java.time.Duration;
@@ -29,6 +30,19 @@
     assertThat(routers.underWay.get(FIRST).shards()).isEqualTo(RouterPair.SHARDS);
   }
 
+  @Test
+  public void aSearchIsNotHandedToARegionThatItsRouteExcludes() {
+    routers.near.regions = ImmutableSet.of("north");
+    routers.routeNear(2);
+    routers.near.submit();
+
+    assertThat(routers.underWay).isEmpty();
+    assertThat(routers.near.sent)
+        .extracting(attempt -> attempt.server().zone())
+        .containsOnly("zone-a")
+        .hasSize(3);
+  }
+
   @Test
   public void aRouterThatKnowsNoServersHandsOnAllTheSame() {
     for (String shard : RouterPair.SHARDS) {
