Routers of the deployment do not follow lookouts until a break of CONFIG is traced

Change: a mechanism, followed-lookouts, left out in the deploy file's settings; zones then have a quarter of lookouts as before. LookoutsTest, StoreFollowerTest, ForwardSettingsTest green.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/Lookouts.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/Lookouts.java
@@ -57,7 +57,7 @@
   public Optional<String> lookoutToFollow() {
     List<NearbyRouter> others = othersOfZone();
     int ofZone = others.size() + 1;
-    if (ofZone < LARGE_ZONE) {
+    if (isSmall(ofZone)) {
       return Optional.empty();
     }
     others.sort(Comparator.comparingLong(router -> weight(router.id())));
@@ -83,9 +83,14 @@
     return failed != null && clock.nanoTime() - failed < AVOIDANCE.toNanos();
   }
 
-  private static int count(int ofZone) {
+  /** Whether every router of a zone of so many follows the store itself. */
+  private boolean isSmall(int ofZone) {
+    return ofZone < LARGE_ZONE || !options.has(Mechanism.FOLLOWED_LOOKOUTS);
+  }
+
+  private int count(int ofZone) {
     int routersForEach =
-        ofZone < LARGE_ZONE ? ROUTERS_FOR_EACH_IN_SMALL_ZONE : ROUTERS_FOR_EACH_IN_LARGE_ZONE;
+        isSmall(ofZone) ? ROUTERS_FOR_EACH_IN_SMALL_ZONE : ROUTERS_FOR_EACH_IN_LARGE_ZONE;
     return Math.max(FEWEST, ofZone / routersForEach);
   }
 
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/Mechanism.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/Mechanism.java
@@ -22,6 +22,8 @@
   OWN_ZONE_FIRST,
   /** Searches handed to a router that is nearer to the servers. */
   DELEGATION,
+  /** In large zones lookouts are followed in place of the store. */
+  FOLLOWED_LOOKOUTS,
   /** Made-up searches before the process is ready. */
   WARM_UP;
 
