A router that starts takes one listing of another; small strict fleets share lookouts

Change: at the start a router asks a contact for what it holds (compressed, one answer, dated by the age that it states), for a second at most, then the store; contacts themselves list the store. Where views must be fresh and a zone is small, all routers share two lookouts. Calls are counted by kind (listing, watch, feed of another router).

Tests: StoreFollowerTest.whoStarts..., FreshnessProperties with contacts (its network now ends each call once, as the transport promises).

--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/FeedSource.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/FeedSource.java
@@ -13,6 +13,12 @@
   /** The router to follow, as IP:PORT for peers; empty to follow the store itself. */
   Optional<String> lookoutToFollow();
 
+  /**
+   * A router that may hold all already, to ask for it at the start; another one each time. Empty:
+   * the store is asked.
+   */
+  Optional<String> routerToAskAtStart();
+
   /** Notes that a router that was followed gave no usable answer. */
   void onFailed(String address);
 }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/StoreFollower.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/StoreFollower.java
@@ -29,6 +29,14 @@
   /** A router that has been behind for longer also asks those of other zones for their listing. */
   static final Duration PATIENCE_FOR_NEAR_PEERS = Duration.ofSeconds(1);
 
+  /**
+   * For so long a router that starts asks others for what they hold: one answer in place of a page
+   * for each fifty keys. When all have started together those that the others ask list the store
+   * meanwhile.
+   */
+  static final Duration TIME_FOR_PEERS_AT_START = Duration.ofSeconds(1);
+
+  private static final Duration START_RETRY = Duration.ofMillis(100);
   private static final Duration FIRST_BACKOFF = Duration.ofMillis(100);
   private static final int MAXIMUM_DOUBLINGS = 3;
 
@@ -60,6 +68,7 @@
   private int failures;
   private boolean everAnswered;
   private long lastAnswerNanos;
+  private long startNanos;
 
   /**
    * Creates a follower that has read nothing.
@@ -89,9 +98,25 @@
     this.dates = new ChangeDates(clock, times.pause().plus(ChangeDates.PROMPT_ANSWER));
   }
 
-  /** Starts with a listing. */
+  /** Starts with the listing of another router where one is known and has it, else of the store. */
   public void start() {
-    list(Optional.empty());
+    startNanos = clock.nanoTime();
+    schedule(TIME_FOR_PEERS_AT_START.toNanos(), this::listAtStart);
+    listAtStart();
+  }
+
+  private void listAtStart() {
+    if (hasListed() || calling) {
+      return;
+    }
+    Optional<String> router = source.routerToAskAtStart();
+    boolean early = clock.nanoTime() - startNanos < TIME_FOR_PEERS_AT_START.toNanos();
+    if (router.isPresent() && early) {
+      awaitsPeerListing = true;
+      listFromPeer(router.get());
+    } else {
+      list(Optional.empty());
+    }
   }
 
   /** Whether everything that the store held has been read once. */
@@ -266,7 +291,11 @@
     listener.onPeerListingFailed();
     if (awaitsPeerListing) {
       awaitsPeerListing = false;
-      list(Optional.empty());
+      if (hasListed()) {
+        list(Optional.empty());
+      } else {
+        schedule(START_RETRY.toNanos(), this::listAtStart);
+      }
     }
   }
 
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/Lookouts.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/Lookouts.java
@@ -1,5 +1,6 @@
 package io.arrowarch.core.forward;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.hash.HashFunction;
 import com.google.common.hash.Hashing;
 import io.arrowarch.core.feed.FeedSource;
@@ -38,6 +39,7 @@
   private final RouterClock clock;
   private final long ownWeight;
   private final Map<String, Long> failedNanos = new HashMap<>();
+  private int askedAtStart;
 
   Lookouts(ForwardOptions options, RouterGroup routers, RouterClock clock) {
     this.options = options;
@@ -46,28 +48,28 @@
     this.ownWeight = weight(options.id());
   }
 
-  /** Whether this router is one; every router is while it knows no other of its zone. */
+  /** Whether this router is one; every router is while it knows no other of its group. */
   @Override
   public boolean isLookout() {
-    List<NearbyRouter> others = othersOfZone();
+    List<NearbyRouter> others = othersOfGroup();
     long before = others.stream().filter(router -> weight(router.id()) < ownWeight).count();
     return before < count(others.size() + 1);
   }
 
   @Override
   public boolean isFollowed() {
-    return !isSmall(othersOfZone().size() + 1) && isLookout();
+    return !isSmall(othersOfGroup().size() + 1) && isLookout();
   }
 
   @Override
   public Optional<String> lookoutToFollow() {
-    List<NearbyRouter> others = othersOfZone();
-    int ofZone = others.size() + 1;
-    if (isSmall(ofZone)) {
+    List<NearbyRouter> others = othersOfGroup();
+    int ofGroup = others.size() + 1;
+    if (isSmall(ofGroup)) {
       return Optional.empty();
     }
     others.sort(Comparator.comparingLong(router -> weight(router.id())));
-    List<NearbyRouter> lookouts = others.subList(0, Math.min(count(ofZone), others.size()));
+    List<NearbyRouter> lookouts = others.subList(0, Math.min(count(ofGroup), others.size()));
     // Routers begin at different ones, so that each has about as many followers.
     int first = (int) Math.floorMod(ownWeight, (long) lookouts.size());
     for (int i = 0; i < lookouts.size(); i++) {
@@ -89,25 +91,40 @@
     return failed != null && clock.nanoTime() - failed < AVOIDANCE.toNanos();
   }
 
-  /** Whether every router of a zone of so many follows the store itself. */
-  private boolean isSmall(int ofZone) {
-    return ofZone < LARGE_ZONE || !options.has(Mechanism.FOLLOWED_LOOKOUTS);
+  /** Whether every router of a group of so many follows the store itself. */
+  private boolean isSmall(int ofGroup) {
+    return ofGroup < LARGE_ZONE || !options.has(Mechanism.FOLLOWED_LOOKOUTS);
   }
 
-  private int count(int ofZone) {
+  private int count(int ofGroup) {
     int routersForEach =
-        isSmall(ofZone) ? ROUTERS_FOR_EACH_IN_SMALL_ZONE : ROUTERS_FOR_EACH_IN_LARGE_ZONE;
-    return Math.max(FEWEST, ofZone / routersForEach);
+        isSmall(ofGroup) ? ROUTERS_FOR_EACH_IN_SMALL_ZONE : ROUTERS_FOR_EACH_IN_LARGE_ZONE;
+    return Math.max(FEWEST, ofGroup / routersForEach);
   }
 
-  private List<NearbyRouter> othersOfZone() {
-    List<NearbyRouter> others = new ArrayList<>();
+  /**
+   * The routers that share lookouts with this one: those of its zone; where that is small and each
+   * view must be fresh, all, since each small zone would need lookouts of its own.
+   */
+  private List<NearbyRouter> othersOfGroup() {
+    List<NearbyRouter> ofZone = new ArrayList<>();
     for (NearbyRouter router : routers.nearby()) {
       if (router.zone().equals(options.zone())) {
-        others.add(router);
+        ofZone.add(router);
       }
     }
-    return others;
+    boolean small = ofZone.size() + 1 < LARGE_ZONE;
+    return small && options.store().everyView() ? new ArrayList<>(routers.nearby()) : ofZone;
+  }
+
+  @Override
+  public Optional<String> routerToAskAtStart() {
+    ImmutableList<String> contacts = routers.contacts();
+    if (contacts.isEmpty()) {
+      return Optional.empty();
+    }
+    int next = (int) Math.floorMod(ownWeight + askedAtStart++, (long) contacts.size());
+    return Optional.of(contacts.get(next));
   }
 
   private static long weight(String router) {
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/RouterGroup.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/RouterGroup.java
@@ -12,6 +12,9 @@
   /** The others that answer. */
   ImmutableList<NearbyRouter> nearby();
 
+  /** Peer addresses of others that are there first, as settings say; none for one of these. */
+  ImmutableList<String> contacts();
+
   /** How limits of tenants are counted with them. */
   LimitPeers limitPeers();
 
@@ -31,6 +34,11 @@
         return ImmutableList.of();
       }
 
+      @Override
+      public ImmutableList<String> contacts() {
+        return ImmutableList.of();
+      }
+
       @Override
       public LimitPeers limitPeers() {
         return LimitPeers.NONE;
--- a/arrowarch-core/src/test/java/io/arrowarch/core/feed/ChangeDatesTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/feed/ChangeDatesTest.java
@@ -134,6 +134,11 @@
       return false;
     }
 
+    @Override
+    public Optional<String> routerToAskAtStart() {
+      return Optional.empty();
+    }
+
     @Override
     public boolean isLookout() {
       return false;
--- a/arrowarch-core/src/test/java/io/arrowarch/core/feed/StoreFollowerTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/feed/StoreFollowerTest.java
@@ -6,7 +6,9 @@
 import io.arrowarch.core.FakeClock;
 import io.arrowarch.core.time.TimerQueue;
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
@@ -28,6 +30,7 @@
   private boolean isFollowed;
   private boolean lookout;
   private final List<String> lookouts = new ArrayList<>();
+  private final Deque<String> atStart = new ArrayDeque<>();
 
   @BeforeMethod
   public void create() {
@@ -41,6 +44,7 @@
     isFollowed = false;
     lookout = true;
     lookouts.clear();
+    atStart.clear();
     follow(LONGEST_SILENCE);
   }
 
@@ -381,6 +385,38 @@
     assertThat(follower.newestRevision()).isEqualTo(90);
   }
 
+  @Test
+  public void whoStartsTakesOneAnswerOfAnotherRouter() {
+    atStart.add(PEER);
+    transport.calls.clear();
+    follow(LONGEST_SILENCE);
+    assertThat(transport.calls).containsExactly("list from " + PEER);
+    pass(Duration.ofMillis(20));
+    follower.onPeerListing(page(200, false, written("b", 150)), Optional.of(Duration.ofSeconds(1)));
+
+    assertThat(follower.hasListed()).isTrue();
+    assertThat(follower.viewAge()).contains(Duration.ofMillis(1_020));
+    assertThat(transport.last()).isEqualTo("watch after 200");
+  }
+
+  @Test
+  public void whoStartsAsksOthersForAMomentOnlyAndThenTheStore() {
+    for (int i = 0; i < 100; i++) {
+      atStart.add(PEER);
+    }
+    transport.calls.clear();
+    follow(LONGEST_SILENCE);
+    for (int millis = 0; millis < 1_200 && !transport.last().equals("list"); millis += 50) {
+      if (transport.calls.size() > 100 - atStart.size() - 1) {
+        follower.onPeerListingFailed();
+      }
+      pass(Duration.ofMillis(50));
+    }
+    assertThat(transport.last()).isEqualTo("list");
+    answer(100, false);
+    assertThat(transport.last()).isEqualTo("watch after 100");
+  }
+
   @Test
   public void aListingProvesTheViewAsOfItsStart() {
     pass(Duration.ofMillis(40));
@@ -529,6 +565,11 @@
       return lookouts.stream().findFirst();
     }
 
+    @Override
+    public Optional<String> routerToAskAtStart() {
+      return Optional.ofNullable(atStart.poll());
+    }
+
     @Override
     public void onFailed(String address) {
       lookouts.remove(address);
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/FixedRouterGroup.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/FixedRouterGroup.java
@@ -12,6 +12,11 @@
     return ImmutableList.copyOf(others);
   }
 
+  @Override
+  public ImmutableList<String> contacts() {
+    return ImmutableList.of();
+  }
+
   @Override
   public LimitPeers limitPeers() {
     return LimitPeers.NONE;
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/FollowerFleet.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/FollowerFleet.java
@@ -33,6 +33,7 @@
  */
 final class FollowerFleet {
   static final Duration BOUND = Duration.ofSeconds(5);
+  private static final ImmutableList<String> CONTACTS = ImmutableList.of("router-0", "router-1");
   private static final Duration LONGEST_WAY = Duration.ofMillis(4);
 
   final FakeClock clock = new FakeClock();
@@ -91,7 +92,7 @@
       peers =
           new RouterPeers(
               record(),
-              List.of("router-0", "router-1"),
+              CONTACTS,
               clock,
               timers,
               own,
@@ -244,8 +245,16 @@
     public void listFromPeer(String address) {
       Router other = find(address);
       int caller = life;
+      boolean[] ended = {false};
+      Runnable fail =
+          () -> {
+            if (!ended[0]) {
+              ended[0] = true;
+              follower.onPeerListingFailed();
+            }
+          };
+      later(Duration.ofSeconds(1), fail);
       if (!reaches(other)) {
-        later(Duration.ofSeconds(1), () -> follower.onPeerListingFailed());
         return;
       }
       other.later(
@@ -256,10 +265,14 @@
             other.reply(
                 this,
                 caller,
-                () ->
-                    held.ifPresentOrElse(
-                        listing -> follower.onPeerListing(listing, age),
-                        () -> follower.onPeerListingFailed()));
+                () -> {
+                  if (held.isEmpty()) {
+                    fail.run();
+                  } else if (!ended[0]) {
+                    ended[0] = true;
+                    follower.onPeerListing(held.get(), age);
+                  }
+                });
           });
     }
 
@@ -291,6 +304,11 @@
       return peers.nearby();
     }
 
+    @Override
+    public ImmutableList<String> contacts() {
+      return number < CONTACTS.size() ? ImmutableList.of() : CONTACTS;
+    }
+
     @Override
     public LimitPeers limitPeers() {
       return LimitPeers.NONE;
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/RouterPair.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/RouterPair.java
@@ -146,6 +146,11 @@
     return nearby;
   }
 
+  @Override
+  public ImmutableList<String> contacts() {
+    return ImmutableList.of();
+  }
+
   @Override
   public LimitPeers limitPeers() {
     return LimitPeers.NONE;
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/FeedServer.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/FeedServer.java
@@ -7,6 +7,7 @@
 import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServerRequest;
 import java.time.Duration;
 import java.util.LinkedHashSet;
@@ -35,6 +36,10 @@
   private final Supplier<StoreFollower> follower;
   private final FeedCodec codec;
   private final Set<Waiting> waiting = new LinkedHashSet<>();
+  private Optional<byte[]> compressed = Optional.empty();
+
+  /** The newest revision that the compressed listing holds. */
+  private long compressedAt;
 
   /** A request for changes that has not been answered, with the timer of its end. */
   private record Waiting(HttpServerRequest request, long receivedNanos, long after, long timer) {}
@@ -99,12 +104,32 @@
     Optional<FeedAnswer> held = follower.get().snapshot();
     if (held.isPresent()) {
       stateAge(request, System.nanoTime());
-      request.response().end(Buffer.buffer(codec.encodeListing(held.get())));
+      end(request, held.get());
     } else {
       end(request, UNAVAILABLE);
     }
   }
 
+  private void end(HttpServerRequest request, FeedAnswer listing) {
+    String accepted = request.getHeader(HttpHeaders.ACCEPT_ENCODING);
+    if (accepted == null || !accepted.contains(CompressedListing.ENCODING)) {
+      request.response().end(Buffer.buffer(codec.encodeListing(listing)));
+      return;
+    }
+    request.response().putHeader(HttpHeaders.CONTENT_ENCODING, CompressedListing.ENCODING);
+    request.response().end(compressed(listing));
+  }
+
+  /** When many routers start together, all get the same bytes. */
+  private Buffer compressed(FeedAnswer listing) {
+    long newest = follower.get().newestRevision();
+    if (compressed.isEmpty() || compressedAt != newest) {
+      compressed = Optional.of(CompressedListing.write(codec.encodeListing(listing)));
+      compressedAt = newest;
+    }
+    return Buffer.buffer(compressed.get());
+  }
+
   /** Answers with what has changed; returns false when nothing has and there is time to wait. */
   private boolean answerChanges(
       HttpServerRequest request, long receivedNanos, long after, boolean waitIsOver) {
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
@@ -145,7 +145,7 @@
             servers,
             store,
             events,
-            new NodeRouterGroup(() -> peers, delegates));
+            new NodeRouterGroup(contactsOfOthers(), () -> peers, delegates));
     callers = new CallerServer(vertx, driver, router, callerCodec, metrics);
     warmUps =
         new WarmUps(
@@ -228,6 +228,12 @@
     driver.run(() -> logProcess("not reloaded", reason));
   }
 
+  /** A router that others ask at their start does not ask others: it must know first. */
+  private ImmutableList<String> contactsOfOthers() {
+    ImmutableList<String> all = addresses(settings);
+    return all.contains(settings.peers().toString()) ? ImmutableList.of() : all;
+  }
+
   private static ImmutableList<String> addresses(ForwardNodeSettings settings) {
     return settings.contacts().stream()
         .map(SocketAddressSetting::toString)
@@ -398,7 +404,10 @@
       ServerConnections connections, StoreClient store, PeerEndpoint endpoint) {
     metrics.gauge("arrowarch.connections.opened", connections, ServerConnections::opened);
     metrics.gauge("arrowarch.connections.failed", connections, ServerConnections::failed);
-    metrics.gauge("arrowarch.store.calls", store, StoreClient::calls);
+    metrics.gauge("arrowarch.store.listing.calls", store, StoreClient::listingCalls);
+    metrics.gauge("arrowarch.store.watch.calls", store, StoreClient::watchCalls);
+    metrics.gauge("arrowarch.peer.feed.calls", store, StoreClient::peerCalls);
+    metrics.gauge("arrowarch.peer.feed.bytes", store, StoreClient::peerBytes);
     metrics.gauge("arrowarch.peer.sent.bytes", endpoint, PeerEndpoint::bytesSent);
     metrics.gauge(
         "arrowarch.view.age.seconds",
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/NodeRouterGroup.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/NodeRouterGroup.java
@@ -11,6 +11,7 @@
 
 /** The other routers, as membership knows them and the node reaches them. */
 final class NodeRouterGroup implements RouterGroup {
+  private final ImmutableList<String> contacts;
   private final Supplier<RouterPeers> peers;
   private final DelegateTransport transport;
   private final LimitPeers limitPeers = new NodeLimitPeers();
@@ -18,9 +19,12 @@
   /**
    * Creates a group.
    *
+   * @param contacts see {@link RouterGroup#contacts}
    * @param peers asked only once the node listens, which is when its own address is known
    */
-  NodeRouterGroup(Supplier<RouterPeers> peers, DelegateTransport transport) {
+  NodeRouterGroup(
+      ImmutableList<String> contacts, Supplier<RouterPeers> peers, DelegateTransport transport) {
+    this.contacts = contacts;
     this.peers = peers;
     this.transport = transport;
   }
@@ -35,6 +39,11 @@
     return peers.get().nearby();
   }
 
+  @Override
+  public ImmutableList<String> contacts() {
+    return contacts;
+  }
+
   @Override
   public LimitPeers limitPeers() {
     return limitPeers;
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/StoreClient.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/StoreClient.java
@@ -15,6 +15,7 @@
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
@@ -42,7 +43,10 @@
   private final Runnable onFollowed;
   private final HttpClient client;
   private Optional<HttpClientRequest> unanswered = Optional.empty();
-  private long calls;
+  private long listingCalls;
+  private long watchCalls;
+  private long peerCalls;
+  private long peerBytes;
   private long newestCall;
 
   /**
@@ -70,26 +74,42 @@
             new PoolOptions().setHttp1MaxSize(CONNECTIONS));
   }
 
-  /** Calls of the store since the start. */
-  long calls() {
-    return calls;
+  /** Pages of listings of the store since the start. */
+  long listingCalls() {
+    return listingCalls;
+  }
+
+  /** Watches of the store since the start. */
+  long watchCalls() {
+    return watchCalls;
+  }
+
+  /** Calls of other routers for what they hold since the start. */
+  long peerCalls() {
+    return peerCalls;
+  }
+
+  /** Bytes of bodies that other routers have answered since the start. */
+  long peerBytes() {
+    return peerBytes;
   }
 
   @Override
   public void list(long call, Optional<String> afterKey, Duration timeout) {
-    calls++;
+    listingCalls++;
     get(call, store, codec.listTarget(afterKey), timeout, this::onStoreAnswer);
   }
 
   @Override
   public void watch(long call, long afterRevision, Duration longestWait, Duration timeout) {
-    calls++;
+    watchCalls++;
     get(call, store, codec.watchTarget(afterRevision, longestWait), timeout, this::onStoreAnswer);
   }
 
   @Override
   public void watchPeer(
       long call, String address, long afterRevision, Duration longestWait, Duration timeout) {
+    peerCalls++;
     String target =
         "%s?%s=%d&%s=%d"
             .formatted(
@@ -103,6 +123,7 @@
 
   @Override
   public void listFromPeer(String address) {
+    peerCalls++;
     SocketAddressSetting peer = SocketAddressSetting.parse(address);
     RequestOptions options =
         new RequestOptions()
@@ -110,6 +131,7 @@
             .setHost(peer.host())
             .setPort(peer.port())
             .setURI(PeerEndpoint.FEED_PATH)
+            .putHeader(HttpHeaders.ACCEPT_ENCODING, CompressedListing.ENCODING)
             .setTimeout(PEER_TIMEOUT.toMillis());
     client
         .request(options)
@@ -123,10 +145,12 @@
 
   private void onPeerListing(HttpClientResponse response, Buffer body) {
     Optional<Duration> age = ViewAge.in(response.headers());
+    peerBytes += body.length();
     driver.run(
         () ->
-            codec
-                .decode(response.statusCode(), body.getBytes())
+            CompressedListing.read(response.headers(), body.getBytes())
+                .toEither(FeedFailure.NO_ANSWER)
+                .flatMap(bytes -> codec.decode(response.statusCode(), bytes))
                 .peek(listing -> follower.get().onPeerListing(listing, age))
                 .peekLeft(failure -> follower.get().onPeerListingFailed()));
   }
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/WarmUpOrigin.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/WarmUpOrigin.java
@@ -108,6 +108,11 @@
     return gatherers;
   }
 
+  @Override
+  public ImmutableList<String> contacts() {
+    return ImmutableList.of();
+  }
+
   @Override
   public LimitPeers limitPeers() {
     return LimitPeers.NONE;
