One line for the servers that an answer changes; lookouts are ranked once a change of members

Read in the code: each call of a follower ranked all routers by a hash of their ids, once in each comparison of a sort; each of 77 routers wrote a line for each of some 1,500 changes of servers.

Change: the ranking is kept until the list of routers changes; `servers` lines replace `server` lines; `trace` reads them. Not measured yet. TraceCommandTest reads the new lines, same assertions.

--- a/arrowarch-cli/src/main/java/io/arrowarch/cli/TraceCommand.java
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/TraceCommand.java
@@ -56,8 +56,20 @@
       return false;
     }
     return OF_THE_ROUTER.contains(line.event())
-        || (line.event().equals("server")
-            && serversOf(own).contains(line.detail().path("server").asText()));
+        || (line.event().equals("servers") && namesAny(line, serversOf(own)));
+  }
+
+  private static boolean namesAny(LogLine line, Set<String> servers) {
+    for (JsonNode named : line.detail().path("servers")) {
+      if (servers.contains(firstWord(named.asText()))) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static String firstWord(String text) {
+    return text.replaceFirst(" .*", "");
   }
 
   /** Servers that the request was sent to or waited for. */
@@ -66,7 +78,7 @@
     for (LogLine line : own) {
       servers.add(line.detail().path("server").asText());
       for (JsonNode part : line.detail().path("missing")) {
-        part.path("open").forEach(open -> servers.add(open.asText().replaceFirst(" .*", "")));
+        part.path("open").forEach(open -> servers.add(firstWord(open.asText())));
       }
     }
     return servers;
--- a/arrowarch-core/src/main/java/io/arrowarch/core/event/RouterEvent.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/event/RouterEvent.java
@@ -163,12 +163,24 @@
     }
   }
 
-  /** A server's state changed in the router's view. */
-  record ServerChanged(String server, String service, String address, String status, long revision)
+  /**
+   * States of servers changed in the router's view, by one answer of the store or of another
+   * router.
+   *
+   * @param status ready, draining, gone
+   * @param count how many
+   * @param servers the first of them, each as its id and its service
+   */
+  record ServersChanged(String status, long revision, int count, List<String> servers)
       implements RouterEvent {
+    /** Copies the list. */
+    public ServersChanged {
+      servers = ImmutableList.copyOf(servers);
+    }
+
     @Override
     public String eventName() {
-      return "server";
+      return "servers";
     }
   }
 
--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/FeedListener.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/FeedListener.java
@@ -8,6 +8,9 @@
   /** A key is no longer there. */
   void onDeleted(String key, long revision);
 
+  /** What one answer says has been told. */
+  void onAnswerTold();
+
   /** Everything that the store holds has been told once, at the first time and after each gap. */
   void onListed(long revision);
 
--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/StoreFollower.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/StoreFollower.java
@@ -278,8 +278,9 @@
     dates.beforeListing();
     Set<String> keys = new HashSet<>();
     answer.items().forEach(item -> keys.add(item.key()));
-    answer.items().forEach(contents::apply);
+    take(answer);
     contents.retain(keys, answer.revision());
+    listener.onAnswerTold();
     position = Optional.of(answer.revision());
     listingFrom = Optional.empty();
     listener.onListedByPeer(answer.revision());
@@ -307,11 +308,11 @@
     onAnswered();
     if (listingFrom.isPresent()) {
       dates.beforeListing();
-      answer.items().forEach(contents::apply);
+      take(answer);
       onPage(answer);
     } else {
       dates.beforeChanges(callStartNanos);
-      answer.items().forEach(contents::apply);
+      take(answer);
       freshness.onWatchEnded(callStartNanos, callWait, answer.items().isEmpty());
       onChanges(answer);
     }
@@ -329,7 +330,7 @@
     }
     onAnswered();
     dates.beforeChangesOfPeer(callStartNanos);
-    answer.items().forEach(contents::apply);
+    take(answer);
     confirmByPeer(Optional.of(callStartNanos), age);
     if (times.isOld(freshness.age())) {
       source.onFailed(followed.get());
@@ -392,6 +393,11 @@
     }
   }
 
+  private void take(FeedAnswer answer) {
+    answer.items().forEach(contents::apply);
+    listener.onAnswerTold();
+  }
+
   private void onPage(FeedAnswer answer) {
     answer.items().forEach(item -> listed.add(item.key()));
     long from = listingFrom.get() < 0 ? answer.revision() : listingFrom.get();
@@ -401,6 +407,7 @@
       return;
     }
     contents.retain(listed, from);
+    listener.onAnswerTold();
     listingFrom = Optional.empty();
     position = Optional.of(Math.max(from, position.orElse(0L)));
     dates.afterListing(listingStartNanos);
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardingRouter.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardingRouter.java
@@ -47,6 +47,7 @@
   private final ServerDirectory directory;
   private final Map<String, ServerEntry> entriesByKey = new HashMap<>();
   private final Map<String, String> evacuatedZonesByKey = new HashMap<>();
+  private final ServerChangeLog serverChanges;
   private final StoreFollower follower;
   private final ForwardCoordinator coordinator;
   private boolean stopping;
@@ -70,6 +71,7 @@
     this.timers = timers;
     this.events = events;
     this.group = group;
+    this.serverChanges = new ServerChangeLog(events);
     this.directory = new ServerDirectory(options.store().apply().dividedBy(LAST_RESORT_DIVISOR));
     this.follower =
         new StoreFollower(
@@ -183,7 +185,7 @@
     ServerEntry entry = entriesByKey.remove(key);
     if (entry != null
         && directory.onGone(entry.id(), follower.deletedSinceNanos(), clock.nanoTime())) {
-      logServer(entry, "gone", revision);
+      serverChanges.add(entry, "gone", revision);
     }
     String zone = evacuatedZonesByKey.remove(key);
     if (zone != null && directory.onEvacuationEnded(zone, this::warmUpOf, clock.nanoTime())) {
@@ -191,6 +193,11 @@
     }
   }
 
+  @Override
+  public void onAnswerTold() {
+    serverChanges.write();
+  }
+
   @Override
   public void onListed(long revision) {
     coordinator.onListed();
@@ -259,16 +266,10 @@
     boolean changed = directory.onEntry(entry, follower.changedSinceNanos(), clock.nanoTime());
     // The first listing has one line in all: hundreds would take a good part of a start.
     if (changed && (follower.hasListed() || entry.draining())) {
-      logServer(entry, entry.draining() ? "draining" : "ready", revision);
+      serverChanges.add(entry, entry.draining() ? "draining" : "ready", revision);
     }
   }
 
-  private void logServer(ServerEntry entry, String status, long revision) {
-    events.log(
-        new RouterEvent.ServerChanged(
-            entry.id(), entry.service(), entry.address(), status, revision));
-  }
-
   private void logStore(String state, String reason, long revision) {
     long known = directory.all().stream().map(ServerState::status).count();
     events.log(new RouterEvent.StoreChanged(state, reason, revision, (int) known));
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/Lookouts.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/Lookouts.java
@@ -39,8 +39,22 @@
   private final RouterClock clock;
   private final long ownWeight;
   private final Map<String, Long> failedNanos = new HashMap<>();
+  private ImmutableList<NearbyRouter> madeFrom = ImmutableList.of();
+  private Optional<View> made = Optional.empty();
   private int askedAtStart;
 
+  /**
+   * The lookouts of a group as this router sees them.
+   *
+   * @param isSmall whether every router follows the store itself
+   * @param isLookout whether this router is one
+   * @param lookouts addresses of the others that are, or would be in this router's place
+   */
+  private record View(boolean isSmall, boolean isLookout, ImmutableList<String> lookouts) {}
+
+  /** Another router and its place among all. */
+  private record Ranked(String address, long weight) {}
+
   Lookouts(ForwardOptions options, RouterGroup routers, RouterClock clock) {
     this.options = options;
     this.routers = routers;
@@ -51,36 +65,57 @@
   /** Whether this router is one; every router is while it knows no other of its group. */
   @Override
   public boolean isLookout() {
-    List<NearbyRouter> others = othersOfGroup();
-    long before = others.stream().filter(router -> weight(router.id()) < ownWeight).count();
-    return before < count(others.size() + 1);
+    return view().isLookout();
   }
 
   @Override
   public boolean isFollowed() {
-    return !isSmall(othersOfGroup().size() + 1) && isLookout();
+    return !view().isSmall() && view().isLookout();
   }
 
   @Override
   public Optional<String> lookoutToFollow() {
-    List<NearbyRouter> others = othersOfGroup();
-    int ofGroup = others.size() + 1;
-    if (isSmall(ofGroup)) {
+    View view = view();
+    if (view.isSmall()) {
       return Optional.empty();
     }
-    others.sort(Comparator.comparingLong(router -> weight(router.id())));
-    List<NearbyRouter> lookouts = others.subList(0, Math.min(count(ofGroup), others.size()));
+    ImmutableList<String> lookouts = view.lookouts();
     // Routers begin at different ones, so that each has about as many followers.
     int first = (int) Math.floorMod(ownWeight, (long) lookouts.size());
     for (int i = 0; i < lookouts.size(); i++) {
-      NearbyRouter lookout = lookouts.get((first + i) % lookouts.size());
-      if (!isAvoided(lookout.address())) {
-        return Optional.of(lookout.address());
+      String lookout = lookouts.get((first + i) % lookouts.size());
+      if (!isAvoided(lookout)) {
+        return Optional.of(lookout);
       }
     }
     return Optional.empty();
   }
 
+  /** What follows from the routers that are known; made once for each change of them. */
+  @SuppressWarnings("ReferenceEquality")
+  private View view() {
+    ImmutableList<NearbyRouter> nearby = routers.nearby();
+    if (made.isEmpty() || nearby != madeFrom) {
+      madeFrom = nearby;
+      made = Optional.of(makeView());
+    }
+    return made.get();
+  }
+
+  private View makeView() {
+    List<Ranked> others = new ArrayList<>();
+    for (NearbyRouter router : othersOfGroup()) {
+      others.add(new Ranked(router.address(), weight(router.id())));
+    }
+    int ofGroup = others.size() + 1;
+    int count = count(ofGroup);
+    long before = others.stream().filter(router -> router.weight() < ownWeight).count();
+    others.sort(Comparator.comparingLong(Ranked::weight));
+    ImmutableList<String> lookouts =
+        others.stream().limit(count).map(Ranked::address).collect(ImmutableList.toImmutableList());
+    return new View(isSmall(ofGroup), before < count, lookouts);
+  }
+
   @Override
   public void onFailed(String address) {
     failedNanos.put(address, clock.nanoTime());
--- a/arrowarch-core/src/test/java/io/arrowarch/core/feed/RecordingFeedListener.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/feed/RecordingFeedListener.java
@@ -17,6 +17,9 @@
     lines.add("-" + key + "@" + revision);
   }
 
+  @Override
+  public void onAnswerTold() {}
+
   @Override
   public void onListed(long revision) {
     lines.add("listed@" + revision);
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/FollowerFleet.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/FollowerFleet.java
@@ -329,6 +329,9 @@
       known.put(key, new FeedItem(key, revision, Optional.empty(), ""));
     }
 
+    @Override
+    public void onAnswerTold() {}
+
     @Override
     public void onListed(long revision) {}
 
