Messages between routers and events are written field by field

Change: StreamingPeerCodec beside the data binding of the JSON interface (PeerCodec); events tell their fields (EventFields). The shape of lines is the same. Tests: StreamingPeerCodecTest (round trip of every message, reads what data binding writes); EventLogTest unchanged.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/event/RouterEvent.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/event/RouterEvent.java
@@ -1,7 +1,5 @@
 package io.arrowarch.core.event;
 
-import com.fasterxml.jackson.annotation.JsonIgnore;
-import com.fasterxml.jackson.annotation.JsonInclude;
 import com.google.common.collect.ImmutableList;
 import java.util.List;
 
@@ -9,14 +7,14 @@
  * A decision that touches a request, or a change of what the router believes. Names of fields are
  * stable; times are milliseconds. The list with meanings stands in docs/OPERATIONS.md.
  */
-@JsonInclude(JsonInclude.Include.NON_EMPTY)
 public sealed interface RouterEvent {
   /** The stable name in logs. */
-  @JsonIgnore
   String eventName();
 
+  /** Tells the fields, under their stable names. */
+  void writeTo(EventFields fields);
+
   /** Whether it is written before and instead of routine events when there is no room for all. */
-  @JsonIgnore
   default boolean isImportant() {
     return true;
   }
@@ -61,10 +59,27 @@
     }
 
     @Override
-    @JsonIgnore
     public boolean isImportant() {
       return !outcome.equals("answered");
     }
+
+    @Override
+    public void writeTo(EventFields fields) {
+      fields
+          .text("requestId", requestId)
+          .text("route", route)
+          .whole("version", version)
+          .text("outcome", outcome)
+          .text("error", error)
+          .text("reason", reason)
+          .whole("partsIn", partsIn)
+          .whole("partsAsked", partsAsked)
+          .whole("attempts", attempts)
+          .whole("extraAttempts", extraAttempts)
+          .number("elapsedMs", elapsedMs)
+          .number("leftMs", leftMs)
+          .objects("missing", missing, MissingPart::writeTo);
+    }
   }
 
   /**
@@ -82,6 +97,15 @@
     public MissingPart {
       open = ImmutableList.copyOf(open);
     }
+
+    void writeTo(EventFields fields) {
+      fields
+          .text("service", service)
+          .text("state", state)
+          .whole("sent", sent)
+          .texts("open", open)
+          .text("hedgeDenied", hedgeDenied);
+    }
   }
 
   /**
@@ -112,10 +136,26 @@
     }
 
     @Override
-    @JsonIgnore
     public boolean isImportant() {
       return !purpose.equals("first");
     }
+
+    @Override
+    public void writeTo(EventFields fields) {
+      fields
+          .text("requestId", requestId)
+          .whole("attempt", attempt)
+          .text("purpose", purpose)
+          .text("service", service)
+          .text("server", server)
+          .number("load", load)
+          .number("reportAgeMs", reportAgeMs)
+          .number("stalledMs", stalledMs)
+          .number("slowness", slowness)
+          .number("budgetLeft", budgetLeft)
+          .number("elapsedMs", elapsedMs)
+          .number("leftMs", leftMs);
+    }
   }
 
   /** An attempt ended without a usable answer; {@code outcome} says how. */
@@ -133,6 +173,19 @@
     public String eventName() {
       return "attempt-failed";
     }
+
+    @Override
+    public void writeTo(EventFields fields) {
+      fields
+          .text("requestId", requestId)
+          .whole("attempt", attempt)
+          .text("service", service)
+          .text("server", server)
+          .text("outcome", outcome)
+          .whole("status", status)
+          .number("tookMs", tookMs)
+          .text("next", next);
+    }
   }
 
   /**
@@ -157,10 +210,22 @@
     }
 
     @Override
-    @JsonIgnore
     public boolean isImportant() {
       return !outcome.equals("answered");
     }
+
+    @Override
+    public void writeTo(EventFields fields) {
+      fields
+          .text("requestId", requestId)
+          .text("route", route)
+          .text("delegate", delegate)
+          .text("outcome", outcome)
+          .text("reason", reason)
+          .whole("parts", parts)
+          .whole("missing", missing)
+          .number("tookMs", tookMs);
+    }
   }
 
   /**
@@ -182,6 +247,15 @@
     public String eventName() {
       return "servers";
     }
+
+    @Override
+    public void writeTo(EventFields fields) {
+      fields
+          .text("status", status)
+          .whole("revision", revision)
+          .whole("count", count)
+          .texts("servers", servers);
+    }
   }
 
   /**
@@ -194,6 +268,11 @@
     public String eventName() {
       return "zone";
     }
+
+    @Override
+    public void writeTo(EventFields fields) {
+      fields.text("zone", zone).text("state", state).whole("revision", revision);
+    }
   }
 
   /** A configuration was taken or refused. */
@@ -204,6 +283,16 @@
     public String eventName() {
       return "configuration";
     }
+
+    @Override
+    public void writeTo(EventFields fields) {
+      fields
+          .whole("version", version)
+          .whole("revision", revision)
+          .text("outcome", outcome)
+          .text("reason", reason)
+          .whole("routes", routes);
+    }
   }
 
   /** The store was lost, regained or listed anew. */
@@ -213,6 +302,15 @@
     public String eventName() {
       return "store";
     }
+
+    @Override
+    public void writeTo(EventFields fields) {
+      fields
+          .text("state", state)
+          .text("reason", reason)
+          .whole("revision", revision)
+          .whole("servers", servers);
+    }
   }
 
   /**
@@ -228,6 +326,11 @@
     public String eventName() {
       return "tenant";
     }
+
+    @Override
+    public void writeTo(EventFields fields) {
+      fields.text("tenant", tenant).text("state", state).text("by", by).number("left", left);
+    }
   }
 
   /**
@@ -241,6 +344,11 @@
     public String eventName() {
       return "view";
     }
+
+    @Override
+    public void writeTo(EventFields fields) {
+      fields.text("state", state).number("ageMs", ageMs);
+    }
   }
 
   /** How many routers share budgets and connections, as this one believes. */
@@ -249,6 +357,11 @@
     public String eventName() {
       return "routers";
     }
+
+    @Override
+    public void writeTo(EventFields fields) {
+      fields.whole("before", before).whole("now", now);
+    }
   }
 
   /** A process starts, is ready, reloads or stops. */
@@ -257,5 +370,10 @@
     public String eventName() {
       return "process";
     }
+
+    @Override
+    public void writeTo(EventFields fields) {
+      fields.text("state", state).text("reason", reason).number("upMs", upMs);
+    }
   }
 }
--- a/arrowarch-node/src/main/java/io/arrowarch/node/PeerEndpoint.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/PeerEndpoint.java
@@ -4,7 +4,6 @@
 import com.google.common.flogger.FluentLogger;
 import io.arrowarch.core.peer.PeerMessage;
 import io.arrowarch.core.peer.PeerTransport;
-import io.arrowarch.core.wire.WireCodec;
 import io.vertx.core.Future;
 import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
@@ -44,6 +43,7 @@
   private static final int CONNECTIONS_PER_PEER = 2;
 
   private final Vertx vertx;
+  private final PeerCodec codec;
   private final Consumer<PeerMessage> receiver;
   private final ImmutableMap<String, Handler<HttpServerRequest>> services;
   private final HttpClient client;
@@ -55,14 +55,17 @@
   /**
    * Creates an endpoint that listens nowhere yet.
    *
+   * @param codec the form of messages
    * @param receiver told every message, on any thread
    * @param services what other routers may ask for beside messages, by path
    */
   public PeerEndpoint(
       Vertx vertx,
+      PeerCodec codec,
       Consumer<PeerMessage> receiver,
       ImmutableMap<String, Handler<HttpServerRequest>> services) {
     this.vertx = vertx;
+    this.codec = codec;
     this.receiver = receiver;
     this.services = services;
     this.client =
@@ -107,7 +110,7 @@
   @Override
   public void send(String address, PeerMessage message) {
     SocketAddressSetting target = SocketAddressSetting.parse(address);
-    byte[] bytes = WireCodec.encode(message);
+    byte[] bytes = codec.encode(message);
     bytesSent += bytes.length;
     messagesSent++;
     if (bytes.length <= MAXIMUM_DATAGRAM_BYTES) {
@@ -168,7 +171,8 @@
   }
 
   private void onBytes(byte[] bytes) {
-    WireCodec.decode(bytes, PeerMessage.class)
+    codec
+        .decode(bytes)
         .onSuccess(receiver)
         .onFailure(failure -> Log.logger.atWarning().log("Peer: dropped a malformed message."));
   }
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
@@ -134,6 +134,7 @@
     PeerEndpoint endpoint =
         new PeerEndpoint(
             vertx,
+            new StreamingPeerCodec(),
             message -> driver.run(() -> peers.onMessage(message)),
             ImmutableMap.of(
                 PeerEndpoint.SEARCH_PATH, delegated, PeerEndpoint.FEED_PATH, feedServer));
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/JsonEventLog.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/JsonEventLog.java
@@ -1,13 +1,14 @@
 package io.arrowarch.node.forward;
 
-import com.fasterxml.jackson.annotation.JsonInclude;
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.ObjectWriter;
-import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
 import com.google.common.flogger.FluentLogger;
 import com.google.common.hash.Hashing;
 import io.arrowarch.core.event.EventLog;
 import io.arrowarch.core.event.RouterEvent;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
 import java.util.ArrayDeque;
@@ -22,6 +23,7 @@
  * counted in the next line.
  */
 public final class JsonEventLog implements EventLog {
+  private static final JsonFactory FACTORY = new JsonFactory();
   private static final int SAMPLED_ONE_IN = 64;
   private static final int LINES_A_SECOND = 120;
   private static final long NANOS_PER_SECOND = 1_000_000_000;
@@ -35,9 +37,6 @@
   private boolean open;
   private final Map<Class<?>, Rate> rates = new HashMap<>();
 
-  /** Made when the log is prepared: making it holds up a start. */
-  private volatile ObjectWriter writer;
-
   private static final class Rate {
     private long second = Long.MIN_VALUE;
     private int lines;
@@ -55,12 +54,11 @@
   }
 
   /**
-   * Configures the log and makes what writes it. This takes a while and may run on any thread; only
-   * afterwards may {@link #open} be called.
+   * Configures the log. This takes a while and may run on any thread; only afterwards may {@link
+   * #open} be called.
    */
   public void prepare() {
     configure.run();
-    writer = JsonMapper.builder().build().writer();
   }
 
   /**
@@ -102,31 +100,34 @@
   }
 
   private void write(RouterEvent event, long leftOut, Instant time) {
-    try {
-      String line =
-          writer.writeValueAsString(
-              new Line(time.toString(), node, leftOut, event.eventName(), event));
-      if (event.isImportant()) {
-        Log.logger.atWarning().log("%s", line);
-      } else {
-        Log.logger.atInfo().log("%s", line);
-      }
-    } catch (JsonProcessingException e) {
-      Log.logger.atSevere().withCause(e).log("Log: an event cannot be written.");
+    String line = line(event, leftOut, time);
+    if (event.isImportant()) {
+      Log.logger.atWarning().log("%s", line);
+    } else {
+      Log.logger.atInfo().log("%s", line);
     }
   }
 
-  /**
-   * One line.
-   *
-   * @param leftOut lines of the same event left out since the last one
-   */
-  private record Line(
-      String time,
-      String node,
-      @JsonInclude(JsonInclude.Include.NON_DEFAULT) long leftOut,
-      String event,
-      RouterEvent detail) {}
+  /** Field by field: data binding takes a tenth of a second of processor for its first line. */
+  private String line(RouterEvent event, long leftOut, Instant time) {
+    StringWriter text = new StringWriter();
+    try (JsonGenerator json = FACTORY.createGenerator(text)) {
+      json.writeStartObject();
+      json.writeStringField("time", time.toString());
+      json.writeStringField("node", node);
+      if (leftOut > 0) {
+        json.writeNumberField("leftOut", leftOut);
+      }
+      json.writeStringField("event", event.eventName());
+      json.writeObjectFieldStart("detail");
+      event.writeTo(new JsonEventFields(json));
+      json.writeEndObject();
+      json.writeEndObject();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    return text.toString();
+  }
 
   /** The same requests at all routers, so that the story of a sampled one is whole. */
   @Override
