A part whose answers are lost may run once more on a server that has run it

What a route bounds is the servers of a request (the users' rules), not the sendings.

Change: where as many servers may have run a part as its route allows, one whose connection broke may be asked again, paid as a retry, four sendings at most where two servers are allowed. Unrepeatable requests: as before.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/AfterFailure.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/AfterFailure.java
@@ -20,6 +20,9 @@
   /** The bounds of extra attempts are spent. */
   NO_BUDGET;
 
+  /** A part is sent to one server so often at most, on the average. */
+  private static final int SENDINGS_PER_SERVER = 2;
+
   /** Decides for a part whose attempt has ended; a retry is paid from the budget. */
   static AfterFailure of(
       PartProgress part,
@@ -35,7 +38,7 @@
       return NOT_REPEATABLE;
     }
     if (part.maybeRun() >= route.maximumAttempts()) {
-      return NO_ATTEMPT_LEFT;
+      return askAgain(part, route, pace, sender, nowNanos);
     }
     if (part.sent() > route.maximumAttempts() + 1) {
       return TRIED_OFTEN_ENOUGH;
@@ -46,6 +49,16 @@
     return sender.budgets().tryRetry(part.service(), nowNanos) ? RETRY : NO_BUDGET;
   }
 
+  /** No other server may run it, but one whose answer was lost may run it once more. */
+  private static AfterFailure askAgain(
+      PartProgress part, Route route, RequestPace pace, AttemptSender sender, long nowNanos) {
+    boolean often = part.sent() >= SENDINGS_PER_SERVER * route.maximumAttempts();
+    if (often || sender.chooseAgain(part, pace).isEmpty()) {
+      return NO_ATTEMPT_LEFT;
+    }
+    return sender.budgets().tryRetry(part.service(), nowNanos) ? RETRY : NO_BUDGET;
+  }
+
   /** The words in logs. */
   String logName() {
     return name().toLowerCase(Locale.ROOT).replace('_', ' ');
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/AttemptSender.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/AttemptSender.java
@@ -107,6 +107,28 @@
     return chooser.choose(withRoom, pace.expectedNanos(), pace.otherZoneNanos(), clock.nanoTime());
   }
 
+  /**
+   * The best server among those that have lost their answers to a part, suspended or not. A part
+   * that may have run on as many servers as its route allows can still run on one of these: answers
+   * lost by reset come by the hundred while the servers behind them are sound, and a search of a
+   * hundred shards that gives each of them two tries misses its least coverage.
+   */
+  Optional<ServerState> chooseAgain(PartProgress part, RequestPace pace) {
+    long nowNanos = clock.nanoTime();
+    int share = connectionShare.applyAsInt(part.service());
+    List<ServerState> withRoom = new ArrayList<>();
+    for (ServerState server : directory.there(part.service(), nowNanos)) {
+      boolean usable =
+          part.mayAskAgain(server)
+              && options.allows(part.regions(), server.entry().zone())
+              && coldServers.admits(server, nowNanos);
+      if (usable && server.openAttempts() < share) {
+        withRoom.add(server);
+      }
+    }
+    return chooser.choose(withRoom, pace.expectedNanos(), pace.otherZoneNanos(), nowNanos);
+  }
+
   /** Whether a part's untried servers only lack connections. */
   boolean mayWait(PartProgress part) {
     return usable(part).stream().anyMatch(server -> !part.hasTried(server));
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
@@ -267,6 +267,9 @@
     if (finished || part.isSettled()) {
       return;
     }
+    if (failure == ServerFailure.BROKEN) {
+      part.onAnswerLost(attempt.attempt().server().id());
+    }
     tryAgain(part, attempt, failure.logName(), 0, failure.maybeRun());
   }
 
@@ -275,7 +278,7 @@
       lose(part);
       return;
     }
-    Optional<ServerState> server = sender.choose(part, pace());
+    Optional<ServerState> server = chooseFor(part);
     if (server.isPresent()) {
       AttemptPurpose purpose = part.sent() == 0 ? AttemptPurpose.FIRST : AttemptPurpose.RETRY;
       sender.send(this, part, server.get(), purpose);
@@ -286,6 +289,13 @@
     }
   }
 
+  /** A server that has not been tried, or one that lost its answer where no other may be. */
+  private Optional<ServerState> chooseFor(PartProgress part) {
+    return part.maybeRun() < route.maximumAttempts()
+        ? sender.choose(part, pace())
+        : sender.chooseAgain(part, pace());
+  }
+
   private void tryAgain(
       PartProgress part, OpenAttempt attempt, String outcome, int status, boolean mayHaveRun) {
     AfterFailure next = AfterFailure.of(part, mayHaveRun, route, pace(), sender, clock.nanoTime());
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/PartProgress.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/PartProgress.java
@@ -16,6 +16,7 @@
   private final String service;
   private final ImmutableSet<String> regions;
   private final Set<String> tried = new HashSet<>();
+  private final Set<String> answersLost = new HashSet<>();
   private final List<OpenAttempt> open = new ArrayList<>();
   private Optional<ServerReply> answer = Optional.empty();
   private Optional<ServerReply> failure = Optional.empty();
@@ -52,6 +53,16 @@
     return tried.contains(server.id());
   }
 
+  /** A server's connection broke before its answer was whole: it may run the part and be sound. */
+  void onAnswerLost(String server) {
+    answersLost.add(server);
+  }
+
+  /** Whether a server has lost its answer to this part, and the part runs nowhere else now. */
+  boolean mayAskAgain(ServerState server) {
+    return answersLost.contains(server.id());
+  }
+
   List<OpenAttempt> open() {
     return open;
   }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/server/ServerDirectory.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/server/ServerDirectory.java
@@ -171,6 +171,17 @@
     return suspended.isEmpty() ? lastResort : suspended;
   }
 
+  /** The servers of a service that are there, suspended ones included. */
+  public List<ServerState> there(String service, long nowNanos) {
+    List<ServerState> there = new ArrayList<>();
+    for (ServerState server : byService.get(service)) {
+      if (!evacuatedZones.contains(server.entry().zone()) && server.isThere(nowNanos)) {
+        there.add(server);
+      }
+    }
+    return there;
+  }
+
   private void forgetOld(long nowNanos) {
     ImmutableList<ServerState> old =
         servers.values().stream()
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/TimerLatenessTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/TimerLatenessTest.java
@@ -23,8 +23,8 @@
   }
 
   /**
-   * Replays searches that lack one of four parts when due, from callers that connect for each: 9 ms
-   * pass before the request comes and 3 ms after the answer has left.
+   * Replays a search that lacks one of four parts when it is due: 16 ms pass before the request is
+   * read, of which 9 are the way, and 3 ms after its answer has left.
    */
   @Test
   public void whoHasJustConnectedGetsAnAnswerThatIsDueInTime() {
@@ -40,7 +40,7 @@
     for (int shard = 1; shard <= 4; shard++) {
       router.server("s" + shard, "s" + shard);
     }
-    // A search just before the due moment of which the answer leaves 18 ms early is in time.
+    // The way of the connection and of the request, and this router's slowness.
     Duration unread = Duration.ofMillis(16);
     router.submit();
     for (int shard = 0; shard < 3; shard++) {
