--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/StoreFollower.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/StoreFollower.java
@@ -52,14 +52,12 @@
   private final ChangeDates dates;
   private final ViewFreshness freshness;
   private final PeerListingCalls peerListings;
-  private final Set<String> listed = new HashSet<>();
+  private final ListingProgress listing = new ListingProgress();
   private Optional<Long> position = Optional.empty();
-  private Optional<Long> listingFrom = Optional.empty();
   private Optional<String> followed = Optional.empty();
   private long currentCall;
   private long callStartNanos;
   private Duration callWait = Duration.ZERO;
-  private long listingStartNanos;
   private boolean calling;
   private boolean watching;
   private boolean awaitsPeerListing;
@@ -282,7 +280,7 @@
     contents.retain(keys, answer.revision());
     listener.onAnswerTold();
     position = Optional.of(answer.revision());
-    listingFrom = Optional.empty();
+    listing.abandon();
     listener.onListedByPeer(answer.revision());
   }
 
@@ -306,7 +304,7 @@
       return;
     }
     onAnswered();
-    if (listingFrom.isPresent()) {
+    if (listing.isActive()) {
       dates.beforeListing();
       take(answer);
       onPage(answer);
@@ -386,7 +384,7 @@
 
   /** A listing that broke off starts anew: its pages would be from too far apart. */
   private void callAgain() {
-    if (position.isPresent() && listingFrom.isEmpty()) {
+    if (position.isPresent() && !listing.isActive()) {
       watch();
     } else {
       list(Optional.empty());
@@ -399,19 +397,17 @@
   }
 
   private void onPage(FeedAnswer answer) {
-    answer.items().forEach(item -> listed.add(item.key()));
-    long from = listingFrom.get() < 0 ? answer.revision() : listingFrom.get();
-    listingFrom = Optional.of(from);
-    if (answer.hasMore() && !answer.items().isEmpty()) {
-      list(Optional.of(answer.items().get(answer.items().size() - 1).key()));
+    Optional<String> lastKey = listing.onPage(answer);
+    if (lastKey.isPresent()) {
+      list(lastKey);
       return;
     }
-    contents.retain(listed, from);
+    long from = listing.revision();
+    contents.retain(listing.keys(), from);
     listener.onAnswerTold();
-    listingFrom = Optional.empty();
     position = Optional.of(Math.max(from, position.orElse(0L)));
-    dates.afterListing(listingStartNanos);
-    freshness.confirm(listingStartNanos);
+    dates.afterListing(listing.startNanos());
+    freshness.confirm(listing.startNanos());
     listener.onListed(from);
     watch();
   }
@@ -430,9 +426,7 @@
 
   private void list(Optional<String> afterKey) {
     if (afterKey.isEmpty()) {
-      listed.clear();
-      listingFrom = Optional.of(-1L);
-      listingStartNanos = clock.nanoTime();
+      listing.begin(clock.nanoTime());
     }
     followed = Optional.empty();
     calling = true;
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
@@ -6,7 +6,6 @@
 import io.arrowarch.core.error.Executed;
 import io.arrowarch.core.error.QueryError;
 import io.arrowarch.core.event.EventLog;
-import io.arrowarch.core.event.RouterEvent;
 import io.arrowarch.core.route.Route;
 import io.arrowarch.core.route.RouteTarget;
 import io.arrowarch.core.route.RoutingConfiguration;
@@ -20,7 +19,6 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -29,8 +27,6 @@
 
 /** Takes callers' requests and passes them on by the configuration in force at their arrival. */
 public final class ForwardCoordinator {
-  private static final Duration BASE_RETRY_AFTER = Duration.ofMillis(150);
-
   /**
    * The way there and back that a caller waits for its connection: 3 ms each way on the sites whose
    * callers are farthest. Without it every answer that leaves when it is due comes too late to a
@@ -46,6 +42,7 @@
   private final TimerQueue timers;
   private final RandomGenerator random;
   private final EventLog events;
+  private final Refusals refusals;
   private final HeldRequests held;
   private final SearchLayout layout;
   private final Gatherers gatherers;
@@ -84,6 +81,7 @@
     this.random = random;
     this.events = events;
     this.startNanos = clock.nanoTime();
+    this.refusals = new Refusals(this::versionInForce, random, events);
     this.held = new HeldRequests(clock, timers, options.maximumRequests(), this::refuseHeld);
     this.layout = new SearchLayout(group::count, options.has(Mechanism.DELEGATION));
     this.gatherers = new Gatherers(options, group, layout, new ZoneCoverage(directory), clock);
@@ -139,6 +137,10 @@
     limiter.onReconfigured();
   }
 
+  private long versionInForce() {
+    return configuration.map(RoutingConfiguration::version).orElse(0L);
+  }
+
   private Tenants tenantsInForce() {
     return configuration.map(RoutingConfiguration::tenants).orElse(Tenants.NONE);
   }
@@ -219,14 +221,17 @@
       return held.hold(request, timeLeft, sink);
     }
     if (configuration.isEmpty()) {
-      return refuse(request, ErrorKind.NO_CONFIGURATION, "no configuration is known yet", sink);
+      return refusals.refuse(
+          request, ErrorKind.NO_CONFIGURATION, "no configuration is known yet", sink);
     }
     Optional<Route> route = configuration.get().match(request.host(), request.target());
     if (route.isEmpty()) {
-      return refuse(request, ErrorKind.UNKNOWN_PATH, "no route has this host and path", sink);
+      return refusals.refuse(
+          request, ErrorKind.UNKNOWN_PATH, "no route has this host and path", sink);
     }
     if (inProgress >= options.maximumRequests()) {
-      return refuse(request, ErrorKind.OVERLOADED, "too many requests are in progress", sink);
+      return refusals.refuse(
+          request, ErrorKind.OVERLOADED, "too many requests are in progress", sink);
     }
     return tenants.admit(request, route.get(), new Admitted(request, sink));
   }
@@ -260,15 +265,15 @@
 
     @Override
     public void refuse(ErrorKind kind, String detail, Optional<Duration> retryAfter) {
-      ForwardHandle unused =
-          ForwardCoordinator.this.refuse(received, kind, detail, retryAfter, sink);
+      ForwardHandle unused = refusals.refuse(received, kind, detail, retryAfter, sink);
     }
   }
 
   private void refuseHeld(HeldRequest waiting) {
     waiting.refuse(
         (request, sink) ->
-            refuse(request, ErrorKind.NO_CONFIGURATION, "the store is not read yet", sink));
+            refusals.refuse(
+                request, ErrorKind.NO_CONFIGURATION, "the store is not read yet", sink));
   }
 
   /** Takes a server's whole answer to an attempt. */
@@ -436,41 +441,4 @@
     String service = state.nextService((RouteTarget.OneServer) route.target());
     return ImmutableList.of(new PartProgress(service, route.regions()));
   }
-
-  private ForwardHandle refuse(
-      ForwardedRequest request,
-      ErrorKind kind,
-      String detail,
-      Consumer<Either<QueryError, ForwardedAnswer>> sink) {
-    return refuse(request, kind, detail, Optional.empty(), sink);
-  }
-
-  private ForwardHandle refuse(
-      ForwardedRequest request,
-      ErrorKind kind,
-      String detail,
-      Optional<Duration> retryAfter,
-      Consumer<Either<QueryError, ForwardedAnswer>> sink) {
-    long version = configuration.map(RoutingConfiguration::version).orElse(0L);
-    events.log(
-        new RouterEvent.RequestEnded(
-            request.id(),
-            "",
-            version,
-            "refused",
-            kind.wireName(),
-            detail,
-            0,
-            0,
-            0,
-            0,
-            0,
-            0,
-            List.of()));
-    Duration usual = BASE_RETRY_AFTER.plusMillis(random.nextLong(BASE_RETRY_AFTER.toMillis()));
-    QueryError error = QueryError.of(kind, detail);
-    sink.accept(
-        Either.left(kind.retryable() ? error.withRetryAfter(retryAfter.orElse(usual)) : error));
-    return ForwardHandle.NONE;
-  }
 }
--- /dev/null
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/Refusals.java
@@ -0,0 +1,79 @@
+package io.arrowarch.core.forward;
+
+import io.arrowarch.core.error.ErrorKind;
+import io.arrowarch.core.error.QueryError;
+import io.arrowarch.core.event.EventLog;
+import io.arrowarch.core.event.RouterEvent;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+
+/** Refuses requests of which nothing has been sent: they have not run. */
+final class Refusals {
+  private static final Duration BASE_RETRY_AFTER = Duration.ofMillis(150);
+
+  private final LongSupplier version;
+  private final RandomGenerator random;
+  private final EventLog events;
+
+  /**
+   * Creates refusals.
+   *
+   * @param version of the configuration in force; 0 without one
+   */
+  Refusals(LongSupplier version, RandomGenerator random, EventLog events) {
+    this.version = version;
+    this.random = random;
+    this.events = events;
+  }
+
+  /** Refuses a request whose caller may come back after the usual time, if at all. */
+  ForwardHandle refuse(
+      ForwardedRequest request,
+      ErrorKind kind,
+      String detail,
+      Consumer<Either<QueryError, ForwardedAnswer>> sink) {
+    return refuse(request, kind, detail, Optional.empty(), sink);
+  }
+
+  /**
+   * Refuses a request.
+   *
+   * @param retryAfter when its caller should come back; empty: after the usual time, if at all
+   */
+  ForwardHandle refuse(
+      ForwardedRequest request,
+      ErrorKind kind,
+      String detail,
+      Optional<Duration> retryAfter,
+      Consumer<Either<QueryError, ForwardedAnswer>> sink) {
+    events.log(
+        new RouterEvent.RequestEnded(
+            request.id(),
+            "",
+            version.getAsLong(),
+            "refused",
+            kind.wireName(),
+            detail,
+            0,
+            0,
+            0,
+            0,
+            0,
+            0,
+            List.of()));
+    QueryError error = QueryError.of(kind, detail);
+    sink.accept(
+        Either.left(
+            kind.retryable() ? error.withRetryAfter(retryAfter.orElseGet(this::usual)) : error));
+    return ForwardHandle.NONE;
+  }
+
+  private Duration usual() {
+    return BASE_RETRY_AFTER.plusMillis(random.nextLong(BASE_RETRY_AFTER.toMillis()));
+  }
+}
