Searches that wait for a slow process are started by urgency and in turns of their tenants

A tenant's priority takes the place of its route's already; now what waits in a process that has just started is ordered by it (FairQueue): the most urgent first, each fourth turn the least urgent's, tenants of one urgency in turns, the newest of one. Before, the newest of all was next. Pattern: one tenant at seven times its usual while the process is slow (FairQueueTest).

--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
@@ -115,6 +115,16 @@
     return partsIn >= minimumParts;
   }
 
+  /** Rank under overload; 0 is the most urgent. */
+  int priority() {
+    return route.priority();
+  }
+
+  /** Whose request it is; empty: nobody's. */
+  String tenant() {
+    return request.caller().tenant().orElse("");
+  }
+
   Duration objective() {
     return route.objective();
   }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/SearchAdmission.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/SearchAdmission.java
@@ -2,15 +2,14 @@
 
 import io.arrowarch.core.time.RouterClock;
 import io.arrowarch.core.time.TimerQueue;
+import io.arrowarch.core.waiting.FairQueue;
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.random.RandomGenerator;
 
 /**
- * Starts searches within the limit of a {@link SlowStart}; the others wait, and the newest is next,
- * since it can still be in time. A caller that has not asked before is told within a quarter of its
- * objective to come back; one that has, and perhaps cannot again, waits for up to half of its time.
+ * Starts searches within the limit of a {@link SlowStart}; the others wait in a {@link FairQueue}.
+ * A caller that has not asked before is told within a quarter of its objective to come back; one
+ * that has, and perhaps cannot again, waits for up to half of its time.
  */
 final class SearchAdmission {
   private static final double REFUSAL_FRACTION = 0.2;
@@ -22,7 +21,7 @@
   private static final double SPREAD = 0.3;
 
   private final SlowStart slowStart;
-  private final Deque<ForwardExecution> waiting = new ArrayDeque<>();
+  private final FairQueue<ForwardExecution> waiting = new FairQueue<>();
   private final RouterClock clock;
   private final TimerQueue timers;
   private final RandomGenerator random;
@@ -56,7 +55,7 @@
       start(search);
       return;
     }
-    waiting.addLast(search);
+    waiting.add(search, search.priority(), search.tenant());
     long wait = firstTry ? nanosUntilRefusal(search) : longestWaitNanos(search);
     timers.schedule(clock.nanoTime() + wait, () -> refuse(search));
   }
@@ -67,10 +66,10 @@
     startWaiting();
   }
 
-  /** Starts what the limit allows, the newest first. */
+  /** Starts what the limit allows, in the order of {@link FairQueue}. */
   void startWaiting() {
     while (!waiting.isEmpty() && slowStart.admits(clock.nanoTime())) {
-      start(waiting.removeLast());
+      waiting.poll().ifPresent(this::start);
     }
   }
 
--- /dev/null
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/waiting/FairQueueTest.java
@@ -0,0 +1,64 @@
+package io.arrowarch.core.waiting;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public final class FairQueueTest {
+  private FairQueue<String> queue;
+
+  @BeforeMethod
+  public void create() {
+    queue = new FairQueue<>();
+  }
+
+  @Test
+  public void theNewestOfOneTenantIsNext() {
+    queue.add("old", 1, "t");
+    queue.add("new", 1, "t");
+    assertThat(all()).containsExactly("new", "old");
+  }
+
+  @Test
+  public void tenantsOfOnePriorityTakeTurns() {
+    for (int i = 0; i < 7; i++) {
+      queue.add("hot-" + i, 1, "hot");
+    }
+    queue.add("quiet-1", 1, "quiet");
+    queue.add("quiet-2", 1, "quiet");
+    queue.add("hot-7", 1, "hot");
+    assertThat(all().subList(0, 4)).contains("quiet-1", "quiet-2");
+  }
+
+  @Test
+  public void theMoreUrgentGoesFirstAndTheLessUrgentIsNotStarved() {
+    for (int i = 0; i < 8; i++) {
+      queue.add("urgent-" + i, 0, "t");
+    }
+    queue.add("later", 2, "t");
+    List<String> order = all();
+    assertThat(order.get(0)).startsWith("urgent");
+    assertThat(order.indexOf("later")).isEqualTo(3);
+  }
+
+  @Test
+  public void whatWaitsNoMoreIsNotNext() {
+    queue.add("one", 1, "t");
+    queue.add("two", 1, "t");
+    assertThat(queue.remove("two")).isTrue();
+    assertThat(queue.remove("two")).isFalse();
+    assertThat(all()).containsExactly("one");
+    assertThat(queue.isEmpty()).isTrue();
+  }
+
+  private List<String> all() {
+    List<String> order = new ArrayList<>();
+    while (!queue.isEmpty()) {
+      order.add(queue.poll().orElseThrow());
+    }
+    return order;
+  }
+}
