--- /dev/null
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/ReadinessTest.java
@@ -0,0 +1,143 @@
+package io.arrowarch.core.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import io.arrowarch.core.FakeClock;
+import io.arrowarch.core.event.EventLog;
+import io.arrowarch.core.feed.FeedAnswer;
+import io.arrowarch.core.feed.FeedBounds;
+import io.arrowarch.core.feed.FeedEntry;
+import io.arrowarch.core.feed.FeedItem;
+import io.arrowarch.core.feed.FeedTransport;
+import io.arrowarch.core.peer.NearbyRouter;
+import io.arrowarch.core.route.CallerLimits;
+import io.arrowarch.core.route.RoutingConfiguration;
+import io.arrowarch.core.tenant.Credential;
+import io.arrowarch.core.tenant.LimitPeers;
+import io.arrowarch.core.tenant.Tenant;
+import io.arrowarch.core.tenant.Tenants;
+import io.arrowarch.core.time.TimerQueue;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Random;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Whether a router whose view is too old for keys wants new connections; three seconds are. */
+public final class ReadinessTest {
+  private static final NearbyRouter OTHER = new NearbyRouter("other", 1, "zone-a", "10.0.0.2:1", 1);
+
+  private FakeClock clock;
+  private ImmutableList<NearbyRouter> nearby;
+  private ForwardingRouter router;
+
+  @BeforeMethod
+  public void start() {
+    clock = new FakeClock();
+    nearby = ImmutableList.of(OTHER);
+    router =
+        new ForwardingRouter(
+            options(),
+            clock,
+            new TimerQueue(),
+            new Random(1),
+            new ForwardFixture(),
+            new SilentStore(),
+            EventLog.NONE,
+            new Group());
+    router.start();
+    router.follower().onAnswer(1, listing());
+    assertThat(router.isReady()).isTrue();
+    clock.advance(Duration.ofSeconds(3));
+  }
+
+  @Test
+  public void whileItHearsOthersTheyAreNoBetterOff() {
+    assertThat(router.coordinator().isClosedToKeys()).isTrue();
+    assertThat(router.isReady()).isTrue();
+  }
+
+  @Test
+  public void whenItHearsNobodyCallersAreBetterOffElsewhere() {
+    nearby = ImmutableList.of();
+    assertThat(router.isReady()).isFalse();
+    router.follower().onConfirmedByPeer(7, clock.nanoTime());
+    assertThat(router.isReady()).isTrue();
+  }
+
+  private static ForwardOptions options() {
+    Duration bound = Duration.ofSeconds(3);
+    return new ForwardOptions(
+        "router",
+        "zone-a",
+        1,
+        10,
+        new ExtraAttemptRules(0, 0, Duration.ofSeconds(10)),
+        bound,
+        new FeedBounds(bound, bound, bound, true),
+        ColdServerRules.EXACT,
+        ImmutableMap.of(),
+        ForwardFixture.RULES,
+        ImmutableSet.of());
+  }
+
+  private static FeedAnswer listing() {
+    Tenant tenant =
+        new Tenant(
+            "t", ImmutableSet.of(Credential.ofKey("key")), Optional.empty(), Optional.empty());
+    RoutingConfiguration configuration =
+        new RoutingConfiguration(
+            1,
+            ImmutableList.of(),
+            ImmutableMap.of(),
+            CallerLimits.DEFAULT,
+            new Tenants(ImmutableList.of(tenant)));
+    FeedEntry entry = new FeedEntry.Configuration(configuration);
+    FeedItem item = new FeedItem("configuration", 7, Optional.of(entry), "");
+    return new FeedAnswer(ImmutableList.of(item), 7, false);
+  }
+
+  private final class Group implements RouterGroup {
+    @Override
+    public int count() {
+      return 1 + nearby.size();
+    }
+
+    @Override
+    public ImmutableList<NearbyRouter> nearby() {
+      return nearby;
+    }
+
+    @Override
+    public ImmutableList<String> contacts() {
+      return ImmutableList.of();
+    }
+
+    @Override
+    public LimitPeers limitPeers() {
+      return LimitPeers.NONE;
+    }
+
+    @Override
+    public DelegateTransport transport() {
+      return DelegateTransport.NONE;
+    }
+  }
+
+  private static final class SilentStore implements FeedTransport {
+    @Override
+    public void list(long call, Optional<String> afterKey, Duration timeout) {}
+
+    @Override
+    public void watch(long call, long after, Duration wait, Duration timeout) {}
+
+    @Override
+    public void watchPeer(long call, String address, long after, Duration wait, Duration timeout) {}
+
+    @Override
+    public void listFromPeer(String address) {}
+  }
+}
