--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/RouterGroup.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/RouterGroup.java
@@ -9,17 +9,23 @@
   /** How many there are, this one included; more rather than fewer when unknown. */
   int count();
 
-  /** The others that answer. */
+  /** The others that answer; the same list until one of them changes. */
   ImmutableList<NearbyRouter> nearby();
 
   /** Peer addresses of others that are there first, as settings say; none for one of these. */
-  ImmutableList<String> contacts();
+  default ImmutableList<String> contacts() {
+    return ImmutableList.of();
+  }
 
   /** How limits of tenants are counted with them. */
-  LimitPeers limitPeers();
+  default LimitPeers limitPeers() {
+    return LimitPeers.NONE;
+  }
 
   /** Hands searches to them. */
-  DelegateTransport transport();
+  default DelegateTransport transport() {
+    return DelegateTransport.NONE;
+  }
 
   /** A group without others that searches could be handed to. */
   static RouterGroup ofCount(int count) {
@@ -33,21 +39,6 @@
       public ImmutableList<NearbyRouter> nearby() {
         return ImmutableList.of();
       }
-
-      @Override
-      public ImmutableList<String> contacts() {
-        return ImmutableList.of();
-      }
-
-      @Override
-      public LimitPeers limitPeers() {
-        return LimitPeers.NONE;
-      }
-
-      @Override
-      public DelegateTransport transport() {
-        return DelegateTransport.NONE;
-      }
     };
   }
 }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/route/Route.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/route/Route.java
@@ -42,22 +42,15 @@
 
   /** The same route with another rank. */
   public Route withPriority(int changed) {
-    return new Route(
-        name,
-        host,
-        pathPrefix,
-        repeatable,
-        timeout,
-        objective,
-        maximumAttempts,
-        changed,
-        isPublic,
-        regions,
-        target);
+    return with(changed, target);
   }
 
   /** The same route to something else. */
   public Route withTarget(RouteTarget changed) {
+    return with(priority, changed);
+  }
+
+  private Route with(int changedPriority, RouteTarget changedTarget) {
     return new Route(
         name,
         host,
@@ -66,9 +59,9 @@
         timeout,
         objective,
         maximumAttempts,
-        priority,
+        changedPriority,
         isPublic,
         regions,
-        changed);
+        changedTarget);
   }
 }
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/FollowerFleet.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/FollowerFleet.java
@@ -17,7 +17,6 @@
 import io.arrowarch.core.peer.NearbyRouter;
 import io.arrowarch.core.peer.PeerMessage;
 import io.arrowarch.core.peer.PeerTransport;
-import io.arrowarch.core.tenant.LimitPeers;
 import io.arrowarch.core.time.TimerQueue;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -309,16 +308,6 @@
       return number < CONTACTS.size() ? ImmutableList.of() : CONTACTS;
     }
 
-    @Override
-    public LimitPeers limitPeers() {
-      return LimitPeers.NONE;
-    }
-
-    @Override
-    public DelegateTransport transport() {
-      return DelegateTransport.NONE;
-    }
-
     @Override
     public void onWritten(String key, FeedEntry entry, long revision) {
       known.put(key, new FeedItem(key, revision, Optional.of(entry), ""));
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/ReadinessTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/ReadinessTest.java
@@ -16,7 +16,6 @@
 import io.arrowarch.core.route.CallerLimits;
 import io.arrowarch.core.route.RoutingConfiguration;
 import io.arrowarch.core.tenant.Credential;
-import io.arrowarch.core.tenant.LimitPeers;
 import io.arrowarch.core.tenant.Tenant;
 import io.arrowarch.core.tenant.Tenants;
 import io.arrowarch.core.time.TimerQueue;
@@ -110,21 +109,6 @@
     public ImmutableList<NearbyRouter> nearby() {
       return nearby;
     }
-
-    @Override
-    public ImmutableList<String> contacts() {
-      return ImmutableList.of();
-    }
-
-    @Override
-    public LimitPeers limitPeers() {
-      return LimitPeers.NONE;
-    }
-
-    @Override
-    public DelegateTransport transport() {
-      return DelegateTransport.NONE;
-    }
   }
 
   private static final class SilentStore implements FeedTransport {
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/RouterPair.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/RouterPair.java
@@ -3,7 +3,6 @@
 import com.google.common.collect.ImmutableList;
 import io.arrowarch.core.FakeClock;
 import io.arrowarch.core.peer.NearbyRouter;
-import io.arrowarch.core.tenant.LimitPeers;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -146,16 +145,6 @@
     return nearby;
   }
 
-  @Override
-  public ImmutableList<String> contacts() {
-    return ImmutableList.of();
-  }
-
-  @Override
-  public LimitPeers limitPeers() {
-    return LimitPeers.NONE;
-  }
-
   @Override
   public DelegateTransport transport() {
     return this;
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/WarmUpOrigin.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/WarmUpOrigin.java
@@ -7,7 +7,6 @@
 import io.arrowarch.core.forward.ForwardingRouter;
 import io.arrowarch.core.forward.RouterGroup;
 import io.arrowarch.core.peer.NearbyRouter;
-import io.arrowarch.core.tenant.LimitPeers;
 import io.arrowarch.core.time.TimerQueue;
 import io.arrowarch.node.EventLoopDriver;
 import io.arrowarch.node.SocketAddressSetting;
@@ -108,16 +107,6 @@
     return gatherers;
   }
 
-  @Override
-  public ImmutableList<String> contacts() {
-    return ImmutableList.of();
-  }
-
-  @Override
-  public LimitPeers limitPeers() {
-    return LimitPeers.NONE;
-  }
-
   @Override
   public DelegateTransport transport() {
     return delegates;
