Four faults found by reading: a stale listing under a fresh date, a verdict of the wrong router, acks to an earlier life, refilled parts

Causes, each read in the code and then shown by a test that was red: - FeedServer kept the compressed listing by its newest key. A key that a new listing finds missing raises no key, so that a router that started later was told a server that had gone, with a fresh date (FeedServerTest.aCompressedListing...). It is kept by newest key and position now. - TenantLimiter took a message off its list before it looked who answered: a verdict of another router left the question without an answer for ever (TenantLimiterMessagesTest.aVerdictOfAnotherRouter...). - Pings were numbered from 1 in each life: an ack to the life before could date a view by the new ping, later than it was (RouterPeersTest.anAckToAnEarlierLife...). They begin at random now, and so do messages about tenants. - A router that decides alone got its part of a window anew with each configuration, three times a second in a storm. OwnParts keeps it (OwnPartsTest.aNewConfiguration..., written with its class, not seen red: the old map was private).

Ruled out by the same reading: an acked view that is older than its date through a paused peer (it reads its clock before it sends). Simpler: TenantCounter makes one verdict in place of two; what nobody called (counted, left) has gone.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/membership/Membership.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/membership/Membership.java
@@ -40,6 +40,12 @@
   /** Records of members a message; with the rest of it they fit a datagram. */
   private static final int NEWS_PER_MESSAGE = 6;
 
+  /**
+   * Pings are numbered from anywhere below this, so that an ack to an earlier life of the router is
+   * not taken for one to a later ping, which it would date too late.
+   */
+  private static final long HIGHEST_FIRST_NUMBER = 1L << 40;
+
   private static final int NEWS_FOR_JOINER = 64;
   private static final int DRAINS_PER_MESSAGE = 8;
 
@@ -70,7 +76,7 @@
   private final Map<Long, Pinged> pinged = new HashMap<>();
   private MemberRecord self;
   private boolean superseded;
-  private long nextNumber = 1;
+  private long nextNumber;
   private long periods;
 
   /** A ping that has not been answered. */
@@ -101,6 +107,7 @@
     this.random = random;
     this.transport = transport;
     this.newsSource = newsSource;
+    this.nextNumber = random.nextLong(HIGHEST_FIRST_NUMBER);
     addContacts(contacts);
   }
 
--- a/arrowarch-core/src/main/java/io/arrowarch/core/tenant/Authenticator.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/tenant/Authenticator.java
@@ -79,7 +79,7 @@
   }
 
   /** Whether the view is young enough to tell that nobody has a key. */
-  public boolean isFresh() {
+  private boolean isFresh() {
     return viewAge.get().filter(rules::isFresh).isPresent();
   }
 
--- a/arrowarch-core/src/main/java/io/arrowarch/core/tenant/TenantCounter.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/tenant/TenantCounter.java
@@ -38,6 +38,11 @@
   private final Map<String, TenantCount> counts = new HashMap<>();
   private final Map<String, Long> toldNanos = new HashMap<>();
 
+  /** On one request; the other fields are those of a verdict. */
+  private record Decision(boolean granted, long retryAfterNanos, long refusedNanos) {
+    private static final Decision GRANTED = new Decision(true, 0, 0);
+  }
+
   /**
    * Creates a counter.
    *
@@ -78,15 +83,15 @@
                       use.unacknowledged(),
                       nowNanos));
     }
-    PeerBody.TenantVerdict asked = decide(router, message, nowNanos);
+    Decision decision = decide(router, message.asks(), nowNanos);
     for (PeerBody.Use use : message.uses()) {
       limitOf(use.tenant(), nowNanos).ifPresent(near::add);
     }
     return new PeerBody.TenantVerdict(
-        asked.number(),
-        asked.granted(),
-        asked.retryAfterMillis(),
-        asked.refusedMillis(),
+        message.number(),
+        decision.granted(),
+        millis(decision.retryAfterNanos()),
+        millis(decision.refusedNanos()),
         near.build());
   }
 
@@ -96,27 +101,14 @@
     toldNanos.keySet().retainAll(counts.keySet());
   }
 
-  /** What is left of the limits of the tenants counted here, by tenant; for operators. */
-  Map<String, Double> left() {
-    long nowNanos = clock.nanoTime();
-    Map<String, Double> left = new HashMap<>();
-    counts.forEach((tenant, count) -> left.put(tenant, count.left(nowNanos)));
-    return left;
-  }
-
-  private PeerBody.TenantVerdict decide(String router, PeerBody.TenantUse message, long nowNanos) {
-    // A tenant without a limit by this router's configuration is not limited by another's.
-    Optional<TenantCount> asked =
-        message.asks().isEmpty() ? Optional.empty() : countOf(message.asks(), nowNanos);
+  /** A tenant without a limit by this router's configuration is not limited by another's. */
+  private Decision decide(String router, String asks, long nowNanos) {
+    Optional<TenantCount> asked = asks.isEmpty() ? Optional.empty() : countOf(asks, nowNanos);
     if (asked.isEmpty() || asked.get().grant(router, nowNanos)) {
-      return new PeerBody.TenantVerdict(message.number(), true, 0, 0, ImmutableList.of());
+      return Decision.GRANTED;
     }
-    return new PeerBody.TenantVerdict(
-        message.number(),
-        false,
-        millis(asked.get().promiseNanos(nowNanos)),
-        millis(asked.get().refusedNanos(nowNanos)),
-        ImmutableList.of());
+    TenantCount count = asked.get();
+    return new Decision(false, count.promiseNanos(nowNanos), count.refusedNanos(nowNanos));
   }
 
   private Optional<TenantCount> countOf(String tenant, long nowNanos) {
--- a/arrowarch-core/src/main/java/io/arrowarch/core/tenant/TenantLimiter.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/tenant/TenantLimiter.java
@@ -50,12 +50,14 @@
 
   private static final Duration SHORTEST_RETRY_AFTER = Duration.ofMillis(50);
 
+  /** Messages are numbered from anywhere below this, so that no verdict is for another life's. */
+  private static final long HIGHEST_FIRST_NUMBER = 1L << 40;
+
   /** What this router counts of itself goes with it, so that no two need be told apart. */
   private static final long OWN_INCARNATION = 0;
 
   private final String ownId;
   private final String ownZone;
-  private final LimitRules rules;
   private final LimitPeers peers;
   private final RouterClock clock;
   private final TimerQueue timers;
@@ -65,11 +67,11 @@
   private final CountingRouters routers;
   private final TenantCounter counter;
   private final Map<String, TenantUsage> usages = new HashMap<>();
-  private final Map<String, TokenBucket> aloneBudgets = new HashMap<>();
+  private final OwnParts ownParts;
   private final Set<String> untold = new LinkedHashSet<>();
   private final Map<Long, Message> unanswered = new HashMap<>();
   private boolean reportScheduled;
-  private long nextNumber = 1;
+  private long nextNumber;
   private long refused;
 
   /** A request that waits for a verdict. */
@@ -119,13 +121,14 @@
       EventLog events) {
     this.ownId = ownId;
     this.ownZone = ownZone;
-    this.rules = rules;
     this.peers = peers;
     this.clock = clock;
     this.timers = timers;
     this.random = random;
     this.events = events;
     this.tenants = tenants;
+    this.ownParts = new OwnParts(rules);
+    this.nextNumber = random.nextLong(HIGHEST_FIRST_NUMBER);
     this.routers = new CountingRouters(ownId, peers, clock);
     this.counter =
         new TenantCounter(rules, ownId, ownZone, routers, peers, this::limitOf, clock, events);
@@ -136,15 +139,10 @@
     return refused;
   }
 
-  /** What is left of the limits that this router counts, by tenant; for operators. */
-  public Map<String, Double> counted() {
-    return counter.left();
-  }
-
   /** Another configuration is in force: tenants that have gone are forgotten. */
   public void onReconfigured() {
     usages.keySet().removeIf(name -> limitOf(name).isEmpty());
-    aloneBudgets.clear();
+    ownParts.retain(name -> limitOf(name).isPresent());
     counter.forgetUnlimited();
   }
 
@@ -260,10 +258,11 @@
   }
 
   private void onVerdict(PeerBody.TenantVerdict verdict, String by) {
-    Message message = unanswered.remove(verdict.number());
+    Message message = unanswered.get(verdict.number());
     if (message == null || !message.to().id().equals(by)) {
       return;
     }
+    unanswered.remove(verdict.number());
     long nowNanos = clock.nanoTime();
     for (PeerBody.Use use : message.uses()) {
       usageOf(use.tenant(), nowNanos).onAcknowledged(use.total());
@@ -312,26 +311,18 @@
     decideAlone(question);
   }
 
-  /** This router's own part of the window, one request at least, for the slack pays for that. */
   private void decideAlone(Question question) {
-    long nowNanos = clock.nanoTime();
-    TenantLimit limit = question.tenant.limit().orElseThrow();
-    TokenBucket budget =
-        aloneBudgets.computeIfAbsent(question.tenant.name(), name -> ownPart(limit, nowNanos));
-    if (budget.tokens(nowNanos) >= 1) {
-      budget.take(1, nowNanos);
-      admit(question.tenant.name(), question.sink);
+    Tenant tenant = question.tenant;
+    long refusedNanos =
+        ownParts.refusedNanos(
+            tenant.name(), tenant.limit().orElseThrow(), routers.ownShare(), clock.nanoTime());
+    if (refusedNanos == 0) {
+      admit(tenant.name(), question.sink);
     } else {
-      refuse(question.sink, Duration.ofNanos(budget.nanosUntil(1, nowNanos)), ownId);
+      refuse(question.sink, Duration.ofNanos(refusedNanos), ownId);
     }
   }
 
-  private TokenBucket ownPart(TenantLimit limit, long nowNanos) {
-    double ofWindow = routers.ownShare() * limit.within(rules.windowSeconds());
-    double capacity = Math.max(1, ofWindow);
-    return new TokenBucket(capacity / rules.windowSeconds(), capacity, capacity, nowNanos);
-  }
-
   private void onNotice(PeerBody.TenantNotice notice) {
     takeLimits(notice.limits());
     if (notice.passOn()) {
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/RouterPeersTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/RouterPeersTest.java
@@ -5,6 +5,7 @@
 import io.arrowarch.core.FakeClock;
 import io.arrowarch.core.event.EventLog;
 import io.arrowarch.core.peer.MemberRecord;
+import io.arrowarch.core.peer.PeerBody;
 import io.arrowarch.core.peer.PeerMessage;
 import io.arrowarch.core.time.TimerQueue;
 import java.time.Duration;
@@ -29,6 +30,7 @@
   private final Map<String, Long> seen = new HashMap<>();
   private final Map<String, Long> heard = new HashMap<>();
   private final Map<String, Long> confirmedNanos = new HashMap<>();
+  private final List<PeerMessage> acksOfR2 = new ArrayList<>();
 
   @BeforeMethod
   public void forgetOtherTests() {
@@ -39,6 +41,7 @@
     seen.clear();
     heard.clear();
     confirmedNanos.clear();
+    acksOfR2.clear();
   }
 
   @Test
@@ -118,6 +121,27 @@
     assertThat(heard).containsEntry("r1", 70L).containsEntry("r4", 70L).containsEntry("r7", 70L);
   }
 
+  /**
+   * A router restarts while an ack to its last life is on its way, or lies unread at one that
+   * stands still: as an answer to a new ping it would date the view later than it was.
+   */
+  @Test
+  public void anAckToAnEarlierLifeDatesNothing() {
+    confirmedNanos.put("r2", clock.nanoTime());
+    create("r2", List.of()).start();
+    create("r1", List.of("r2"), 1).start();
+    List<PeerMessage> acks = List.copyOf(acksOfR2);
+    assertThat(acks).isNotEmpty();
+    clock.advance(Duration.ofSeconds(3));
+    dead.add("r2");
+    RouterPeers restarted = create("r1", List.of("r2"), 2);
+    restarted.start();
+    confirmedNanos.remove("r1");
+    acks.forEach(restarted::onMessage);
+
+    assertThat(confirmedNanos).doesNotContainKey("r1");
+  }
+
   private RouterPeers create(String id, List<String> contacts) {
     return create(id, contacts, 1);
   }
@@ -132,7 +156,7 @@
             contacts,
             clock,
             queue,
-            new Random(id.hashCode()),
+            new Random(id.hashCode() + incarnation),
             (address, message) -> deliver(id, address, message),
             EventLog.NONE,
             server -> drains.add(id + " " + server),
@@ -171,6 +195,9 @@
 
   private void deliver(String from, String to, PeerMessage message) {
     RouterPeers receiver = routers.get(to);
+    if (from.equals("r2") && message.body() instanceof PeerBody.Ack) {
+      acksOfR2.add(message);
+    }
     if (receiver != null && !dead.contains(from) && !dead.contains(to)) {
       receiver.onMessage(message);
     }
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/FeedServer.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/FeedServer.java
@@ -36,10 +36,19 @@
   private final Supplier<StoreFollower> follower;
   private final FeedCodec codec;
   private final Set<Waiting> waiting = new LinkedHashSet<>();
-  private Optional<byte[]> compressed = Optional.empty();
+  private Optional<Compressed> compressed = Optional.empty();
 
-  /** The newest revision that the compressed listing holds. */
-  private long compressedAt;
+  /**
+   * A listing in the form in which it is told.
+   *
+   * @param newest key in it
+   * @param position up to which all is known; it alone rises when a listing finds a key missing
+   */
+  private record Compressed(long newest, long position, Buffer body) {
+    boolean isOf(long otherNewest, long otherPosition) {
+      return newest == otherNewest && position == otherPosition;
+    }
+  }
 
   /** A request for changes that has not been answered, with the timer of its end. */
   private record Waiting(HttpServerRequest request, long receivedNanos, long after, long timer) {}
@@ -123,11 +132,12 @@
   /** When many routers start together, all get the same bytes. */
   private Buffer compressed(FeedAnswer listing) {
     long newest = follower.get().newestRevision();
-    if (compressed.isEmpty() || compressedAt != newest) {
-      compressed = Optional.of(CompressedListing.write(codec.encodeListing(listing)));
-      compressedAt = newest;
+    boolean same = compressed.filter(made -> made.isOf(newest, listing.revision())).isPresent();
+    if (!same) {
+      Buffer body = Buffer.buffer(CompressedListing.write(codec.encodeListing(listing)));
+      compressed = Optional.of(new Compressed(newest, listing.revision(), body));
     }
-    return Buffer.buffer(compressed.get());
+    return compressed.get().body();
   }
 
   /** Answers with what has changed; returns false when nothing has and there is time to wait. */
