Messages between routers go through the coordinator, which knows their kinds

PeerGroup is what LimitPeers was, under a name that others than the counting of limits can use; the node hands each message to the coordinator.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
@@ -6,6 +6,7 @@
 import io.arrowarch.core.error.Executed;
 import io.arrowarch.core.error.QueryError;
 import io.arrowarch.core.event.EventLog;
+import io.arrowarch.core.peer.PeerMessage;
 import io.arrowarch.core.route.Route;
 import io.arrowarch.core.route.RouteTarget;
 import io.arrowarch.core.route.RoutingConfiguration;
@@ -99,7 +100,7 @@
             options.id(),
             options.zone(),
             options.tenants().limits(),
-            group.limitPeers(),
+            group.peers(),
             this::tenantsInForce,
             clock,
             timers,
@@ -156,6 +157,11 @@
     return configuration.map(RoutingConfiguration::tenants).orElse(Tenants.NONE);
   }
 
+  /** Takes a message of another router that is not about the routers themselves. */
+  public void onPeerMessage(PeerMessage message) {
+    limiter.onMessage(message);
+  }
+
   /** Counts the use of tenants with the other routers. */
   public TenantLimiter tenantLimiter() {
     return limiter;
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/RouterGroup.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/RouterGroup.java
@@ -2,7 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import io.arrowarch.core.peer.NearbyRouter;
-import io.arrowarch.core.tenant.LimitPeers;
+import io.arrowarch.core.peer.PeerGroup;
 
 /** The routers that share servers and budgets, as one of them sees them. */
 public interface RouterGroup {
@@ -23,8 +23,8 @@
   }
 
   /** How limits of tenants are counted with them. */
-  default LimitPeers limitPeers() {
-    return LimitPeers.NONE;
+  default PeerGroup peers() {
+    return PeerGroup.NONE;
   }
 
   /** Hands searches to them. */
--- a/arrowarch-core/src/main/java/io/arrowarch/core/tenant/LimitPeers.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/peer/PeerGroup.java
@@ -1,11 +1,9 @@
-package io.arrowarch.core.tenant;
+package io.arrowarch.core.peer;
 
 import com.google.common.collect.ImmutableList;
-import io.arrowarch.core.peer.NearbyRouter;
-import io.arrowarch.core.peer.PeerBody;
 
-/** The other routers, as the counting of limits needs them. */
-public interface LimitPeers {
+/** The other routers, as those that exchange messages with them need them. */
+public interface PeerGroup {
   /** The others that answer; the same list until one of them changes. */
   ImmutableList<NearbyRouter> nearby();
 
@@ -13,8 +11,8 @@
   void send(String address, PeerBody body);
 
   /** Of a router that is alone. */
-  LimitPeers NONE =
-      new LimitPeers() {
+  PeerGroup NONE =
+      new PeerGroup() {
         @Override
         public ImmutableList<NearbyRouter> nearby() {
           return ImmutableList.of();
--- a/arrowarch-core/src/main/java/io/arrowarch/core/tenant/CountingRouters.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/tenant/CountingRouters.java
@@ -4,6 +4,7 @@
 import com.google.common.hash.HashFunction;
 import com.google.common.hash.Hashing;
 import io.arrowarch.core.peer.NearbyRouter;
+import io.arrowarch.core.peer.PeerGroup;
 import io.arrowarch.core.time.RouterClock;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -38,7 +39,7 @@
   private static final HashFunction HASH = Hashing.murmur3_128();
 
   private final String ownId;
-  private final LimitPeers peers;
+  private final PeerGroup peers;
   private final RouterClock clock;
   private final Map<String, Long> failedNanos = new HashMap<>();
   private final Map<String, ImmutableList<Candidate>> byTenant = new HashMap<>();
@@ -53,7 +54,7 @@
    */
   record Candidate(String id, Optional<String> address) {}
 
-  CountingRouters(String ownId, LimitPeers peers, RouterClock clock) {
+  CountingRouters(String ownId, PeerGroup peers, RouterClock clock) {
     this.ownId = ownId;
     this.peers = peers;
     this.clock = clock;
--- a/arrowarch-core/src/main/java/io/arrowarch/core/tenant/TenantCounter.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/tenant/TenantCounter.java
@@ -5,6 +5,7 @@
 import io.arrowarch.core.event.RouterEvent;
 import io.arrowarch.core.peer.NearbyRouter;
 import io.arrowarch.core.peer.PeerBody;
+import io.arrowarch.core.peer.PeerGroup;
 import io.arrowarch.core.time.RouterClock;
 import java.time.Duration;
 import java.util.HashMap;
@@ -31,7 +32,7 @@
   private final String ownId;
   private final String ownZone;
   private final CountingRouters routers;
-  private final LimitPeers peers;
+  private final PeerGroup peers;
   private final Function<String, Optional<TenantLimit>> limits;
   private final RouterClock clock;
   private final EventLog events;
@@ -53,7 +54,7 @@
       String ownId,
       String ownZone,
       CountingRouters routers,
-      LimitPeers peers,
+      PeerGroup peers,
       Function<String, Optional<TenantLimit>> limits,
       RouterClock clock,
       EventLog events) {
--- a/arrowarch-core/src/main/java/io/arrowarch/core/tenant/TenantLimiter.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/tenant/TenantLimiter.java
@@ -6,6 +6,7 @@
 import io.arrowarch.core.peer.MemberRecord;
 import io.arrowarch.core.peer.NearbyRouter;
 import io.arrowarch.core.peer.PeerBody;
+import io.arrowarch.core.peer.PeerGroup;
 import io.arrowarch.core.peer.PeerMessage;
 import io.arrowarch.core.time.RouterClock;
 import io.arrowarch.core.time.TimerQueue;
@@ -58,7 +59,7 @@
 
   private final String ownId;
   private final String ownZone;
-  private final LimitPeers peers;
+  private final PeerGroup peers;
   private final RouterClock clock;
   private final TimerQueue timers;
   private final RandomGenerator random;
@@ -113,7 +114,7 @@
       String ownId,
       String ownZone,
       LimitRules rules,
-      LimitPeers peers,
+      PeerGroup peers,
       Supplier<Tenants> tenants,
       RouterClock clock,
       TimerQueue timers,
--- a/arrowarch-core/src/test/java/io/arrowarch/core/tenant/LimitFleet.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/tenant/LimitFleet.java
@@ -7,6 +7,7 @@
 import io.arrowarch.core.peer.MemberRecord;
 import io.arrowarch.core.peer.NearbyRouter;
 import io.arrowarch.core.peer.PeerBody;
+import io.arrowarch.core.peer.PeerGroup;
 import io.arrowarch.core.peer.PeerMessage;
 import io.arrowarch.core.time.TimerQueue;
 import java.time.Duration;
@@ -49,7 +50,7 @@
   }
 
   /** One router, its queue of timers and what it knows of the others. */
-  final class Router implements LimitPeers {
+  final class Router implements PeerGroup {
     private final int number;
     private final Set<Integer> unreachable = new HashSet<>();
     private ImmutableList<NearbyRouter> nearby = ImmutableList.of();
--- a/arrowarch-core/src/test/java/io/arrowarch/core/tenant/TenantLimiterMessagesTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/tenant/TenantLimiterMessagesTest.java
@@ -9,6 +9,7 @@
 import io.arrowarch.core.peer.MemberRecord;
 import io.arrowarch.core.peer.NearbyRouter;
 import io.arrowarch.core.peer.PeerBody;
+import io.arrowarch.core.peer.PeerGroup;
 import io.arrowarch.core.peer.PeerMessage;
 import io.arrowarch.core.time.TimerQueue;
 import java.time.Duration;
@@ -20,7 +21,7 @@
 import org.testng.annotations.Test;
 
 /** One router whose tenant is counted by another that answers when the test says so. */
-public final class TenantLimiterMessagesTest implements LimitPeers {
+public final class TenantLimiterMessagesTest implements PeerGroup {
   private static final String COUNTING = "counting";
   private static final TenantLimit LIMIT = new TenantLimit(1, 1);
   private static final LimitRules RULES = new LimitRules(Duration.ofSeconds(5), 0.25, 20);
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
@@ -371,7 +371,7 @@
         events,
         serverId -> router.directory().onDraining(serverId, System.nanoTime()),
         new FollowedRevisions(() -> router.follower()),
-        message -> router.coordinator().tenantLimiter().onMessage(message));
+        message -> router.coordinator().onPeerMessage(message));
   }
 
   private Future<?> listenForMetrics(OperatorServers operators) {
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/NodeRouterGroup.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/NodeRouterGroup.java
@@ -6,7 +6,7 @@
 import io.arrowarch.core.forward.RouterPeers;
 import io.arrowarch.core.peer.NearbyRouter;
 import io.arrowarch.core.peer.PeerBody;
-import io.arrowarch.core.tenant.LimitPeers;
+import io.arrowarch.core.peer.PeerGroup;
 import java.util.function.Supplier;
 
 /** The other routers, as membership knows them and the node reaches them. */
@@ -14,7 +14,7 @@
   private final ImmutableList<String> contacts;
   private final Supplier<RouterPeers> peers;
   private final DelegateTransport transport;
-  private final LimitPeers limitPeers = new NodeLimitPeers();
+  private final PeerGroup peerGroup = new NodePeerGroup();
 
   /**
    * Creates a group.
@@ -50,8 +50,8 @@
   }
 
   @Override
-  public LimitPeers limitPeers() {
-    return limitPeers;
+  public PeerGroup peers() {
+    return peerGroup;
   }
 
   @Override
@@ -60,7 +60,7 @@
   }
 
   /** The same routers, for the counting of tenants' limits. */
-  private final class NodeLimitPeers implements LimitPeers {
+  private final class NodePeerGroup implements PeerGroup {
     @Override
     public ImmutableList<NearbyRouter> nearby() {
       return peers.get().nearby();
