Logs: which failed requests are the same one come again, and how attempts end after the answer

Needed to tell the incident's hypotheses apart: a line 'request' with an error has requestKey, the first digits of a hash of what servers are given of it (method, host, path, tenant, body; no text of them stands in the log); an attempt that ends without an answer after its request was answered has its line 'attempt-failed' with 'the request is over'. Both are hashed and written only for requests that fail and attempts that end broken. Ruled out: hashing each request, which nothing needs.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/event/RouterEvent.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/event/RouterEvent.java
@@ -27,6 +27,8 @@
   /**
    * A request got its final answer, or was cancelled by its caller.
    *
+   * @param requestKey by which it is known again when it comes once more; empty where it was
+   *     answered or not looked at
    * @param outcome answered, partial, refused, failed, cancelled
    * @param error name of the error kind; empty for a success
    * @param reason why it ended now
@@ -35,6 +37,7 @@
    */
   record RequestEnded(
       String requestId,
+      String requestKey,
       String route,
       long version,
       String outcome,
@@ -67,6 +70,7 @@
     public void writeTo(EventFields fields) {
       fields
           .text("requestId", requestId)
+          .text("requestKey", requestKey)
           .text("route", route)
           .whole("version", version)
           .text("outcome", outcome)
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
@@ -10,6 +10,7 @@
 import io.arrowarch.core.route.Route;
 import io.arrowarch.core.route.RouteTarget;
 import io.arrowarch.core.server.ServerState;
+import io.arrowarch.core.suspect.RequestKey;
 import io.arrowarch.core.time.RouterClock;
 import io.arrowarch.core.time.TimerQueue;
 import io.vavr.control.Either;
@@ -274,6 +275,7 @@
 
   void onFailure(PartProgress part, OpenAttempt attempt, ServerFailure failure) {
     if (finished || part.isSettled()) {
+      logFailed(part, attempt, failure.logName(), 0, "the request is over");
       return;
     }
     if (failure == ServerFailure.BROKEN) {
@@ -308,6 +310,16 @@
   private void tryAgain(
       PartProgress part, OpenAttempt attempt, String outcome, int status, boolean mayHaveRun) {
     AfterFailure next = AfterFailure.of(part, mayHaveRun, route, pace(), sender, clock.nanoTime());
+    logFailed(part, attempt, outcome, status, next.logName());
+    if (next == AfterFailure.RETRY) {
+      startPart(part);
+    } else if (next != AfterFailure.WAIT) {
+      lose(part);
+    }
+  }
+
+  private void logFailed(
+      PartProgress part, OpenAttempt attempt, String outcome, int status, String next) {
     events.log(
         new RouterEvent.AttemptFailed(
             request.id(),
@@ -317,12 +329,17 @@
             outcome,
             status,
             (clock.nanoTime() - attempt.startNanos()) / NANOS_PER_MILLI,
-            next.logName()));
-    if (next == AfterFailure.RETRY) {
-      startPart(part);
-    } else if (next != AfterFailure.WAIT) {
-      lose(part);
-    }
+            next));
+  }
+
+  private String keyForLog() {
+    return RequestKey.of(
+            request.method(),
+            request.host(),
+            request.target(),
+            request.caller().tenant(),
+            request.body().bytes())
+        .logName();
   }
 
   private void lose(PartProgress part) {
@@ -419,6 +436,7 @@
     events.log(
         new RouterEvent.RequestEnded(
             request.id(),
+            error.isEmpty() ? "" : keyForLog(),
             route.name(),
             version,
             outcome,
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/Refusals.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/Refusals.java
@@ -55,6 +55,7 @@
         new RouterEvent.RequestEnded(
             request.id(),
             "",
+            "",
             version.getAsLong(),
             "refused",
             kind.wireName(),
