--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/ForwardFixture.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/ForwardFixture.java
@@ -27,6 +27,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.function.Consumer;
 
 /** A coordinator in virtual time whose attempts wait for the test to answer them. */
 final class ForwardFixture implements ServerTransport {
@@ -51,6 +52,7 @@
   final List<ServerAttempt> cancelled = new ArrayList<>();
   final List<Either<QueryError, ForwardedAnswer>> outcomes = new ArrayList<>();
   final ForwardCoordinator coordinator;
+  private final Consumer<ServerAttempt> onSent;
   private int nextRequest = 1;
 
   /** Of routes that are set from now on. */
@@ -87,11 +89,22 @@
 
   /** One of several routers, which share a clock. */
   ForwardFixture(FakeClock clock, String zone, RouterGroup group) {
+    this(clock, "router-a", zone, group, attempt -> {});
+  }
+
+  /**
+   * One of several routers, which share a clock.
+   *
+   * @param onSent told each attempt besides
+   */
+  ForwardFixture(
+      FakeClock clock, String id, String zone, RouterGroup group, Consumer<ServerAttempt> onSent) {
     this.clock = clock;
+    this.onSent = onSent;
     coordinator =
         new ForwardCoordinator(
             new ForwardOptions(
-                "router-a",
+                id,
                 zone,
                 1,
                 100,
@@ -169,13 +182,17 @@
   }
 
   ForwardHandle submit(Duration timeLeft) {
+    return submit("request-" + nextRequest++, "/path", timeLeft);
+  }
+
+  ForwardHandle submit(String id, String path, Duration timeLeft) {
     ForwardedRequest request =
         new ForwardedRequest(
-            "request-" + nextRequest++,
+            id,
             Optional.of(timeLeft),
             "GET",
             "host",
-            "/path",
+            path,
             caller,
             ImmutableList.of(),
             Payload.EMPTY);
@@ -259,6 +276,7 @@
   public void send(ServerAttempt attempt) {
     sent.add(attempt);
     sentAtNanos.add(clock.nanoTime());
+    onSent.accept(attempt);
   }
 
   @Override
