A suspended machine does not take its view for young: the time of day tells what the steady clock left out

Cause: ages of views, by which keys are let in and attempts sent, rest on the steady clock, which may leave out the time for which a machine is suspended; a key that was taken away meanwhile would run.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/StoreView.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/StoreView.java
@@ -52,9 +52,12 @@
     return freshness.age();
   }
 
-  /** As of when the view is complete; empty before the first listing. */
-  public Optional<Long> asOfNanos() {
-    return freshness.asOfNanos();
+  /**
+   * How old the view may have been at a moment; negative when it is known to be complete as of
+   * later. Empty before the first listing.
+   */
+  public Optional<Duration> ageAt(long nanos) {
+    return freshness.ageAt(nanos);
   }
 
   /** See {@link ChangeDates#changedSinceNanos}. */
@@ -87,11 +90,12 @@
    * and none after it. The newest key that the other holds would not do: it need not have seen the
    * key whose deletion came last.
    *
-   * @param asOfNanos on this router's clock, no later than the other's date
+   * @param askedNanos when the other was asked
+   * @param age of its view then
    */
-  public void onConfirmedByPeer(long othersPosition, long asOfNanos) {
+  public void onConfirmedByPeer(long othersPosition, long askedNanos, Duration age) {
     if (position.isPresent() && position.get() >= othersPosition) {
-      freshness.confirm(asOfNanos);
+      freshness.confirm(askedNanos, age);
     }
   }
 
@@ -117,7 +121,7 @@
     listener.onAnswerTold();
     position = Optional.of(Math.max(listing.revision(), position()));
     dates.afterListing(listing.startNanos());
-    freshness.confirm(listing.startNanos());
+    freshness.confirm(listing.startNanos(), Duration.ZERO);
   }
 
   /** Takes the end of a watch at the store that began at a moment, with its wait. */
@@ -136,7 +140,7 @@
   void onPeerChanges(FeedAnswer changes, long startNanos, Optional<Duration> age) {
     dates.beforeChangesOfPeer(startNanos);
     take(changes);
-    age.ifPresent(known -> freshness.confirm(startNanos - known.toNanos()));
+    age.ifPresent(known -> freshness.confirm(startNanos, known));
     moveTo(changes.revision());
   }
 
@@ -158,7 +162,7 @@
     listener.onAnswerTold();
     position = Optional.of(listing.revision());
     if (askedNanos.isPresent() && age.isPresent()) {
-      freshness.confirm(askedNanos.get() - age.get().toNanos());
+      freshness.confirm(askedNanos.get(), age.get());
     }
     return true;
   }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/ViewFreshness.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/ViewFreshness.java
@@ -13,7 +13,16 @@
   private static final int CLOCK_DRIFT_DIVISOR = 1_000;
 
   private final RouterClock clock;
-  private Optional<Long> asOfNanos = Optional.empty();
+  private Optional<Confirmation> newest = Optional.empty();
+
+  /**
+   * A proof.
+   *
+   * @param askedNanos when it was asked for, on the router's own clock
+   * @param age of the view at that moment; negative where whoever answered knows it to be complete
+   *     as of later. This length was measured elsewhere, and goes on while this machine sleeps
+   */
+  private record Confirmation(long askedNanos, Duration age) {}
 
   ViewFreshness(RouterClock clock) {
     this.clock = clock;
@@ -21,18 +30,31 @@
 
   /** How old the view may be by now; empty before it was complete for the first time. */
   Optional<Duration> age() {
-    return asOfNanos.map(asOf -> Duration.ofNanos(clock.nanoTime() - asOf));
+    return ageAt(clock.nanoTime());
+  }
+
+  /**
+   * How old the view may have been at a moment; negative when it is known to be complete as of
+   * later. The time for which a suspended machine has slept belongs to it: changes went on
+   * meanwhile.
+   */
+  Optional<Duration> ageAt(long nanos) {
+    return newest.map(proof -> ageAt(proof, nanos));
   }
 
-  /** The date; empty before the view was complete for the first time. */
-  Optional<Long> asOfNanos() {
-    return asOfNanos;
+  private Duration ageAt(Confirmation proof, long nanos) {
+    long asked = proof.askedNanos;
+    return proof.age.plusNanos(nanos - asked + clock.suspendedSinceNanos(asked));
   }
 
-  /** Takes a date at which the view is known to have been complete. */
-  void confirm(long nanos) {
-    if (asOfNanos.isEmpty() || nanos > asOfNanos.get()) {
-      asOfNanos = Optional.of(nanos);
+  /** Takes that the view was of some age, or younger, at a moment. */
+  void confirm(long askedNanos, Duration age) {
+    Confirmation proof = new Confirmation(askedNanos, age);
+    long nowNanos = clock.nanoTime();
+    boolean younger =
+        newest.isEmpty() || ageAt(proof, nowNanos).compareTo(ageAt(newest.get(), nowNanos)) < 0;
+    if (younger) {
+      newest = Optional.of(proof);
     }
   }
 
@@ -41,8 +63,8 @@
    * the view until the end of the wait; any other may have been answered at once and then delayed.
    */
   void onWatchEnded(long startNanos, Duration wait, boolean unchanged) {
-    long waitNanos = wait.toNanos();
-    boolean held = unchanged && clock.nanoTime() - startNanos >= waitNanos;
-    confirm(held ? startNanos + waitNanos - waitNanos / CLOCK_DRIFT_DIVISOR : startNanos);
+    boolean held = unchanged && clock.nanoTime() - startNanos >= wait.toNanos();
+    Duration proven = held ? wait.minus(wait.dividedBy(CLOCK_DRIFT_DIVISOR)) : Duration.ZERO;
+    confirm(startNanos, proven.negated());
   }
 }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/RouterPeers.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/RouterPeers.java
@@ -45,12 +45,13 @@
     Optional<Duration> viewAge();
 
     /**
-     * Takes that another router's view was complete at a moment, with every change up to a position
-     * and none after it.
+     * Takes that another router's view was complete, with every change up to a position and none
+     * after it.
      *
-     * @param asOfNanos on this router's clock
+     * @param askedNanos when it was asked, on this router's clock
+     * @param age of its view then
      */
-    void onConfirmedByPeer(long position, long asOfNanos);
+    void onConfirmedByPeer(long position, long askedNanos, Duration age);
 
     /**
      * Takes the newest that another router has seen.
@@ -230,8 +231,8 @@
   /** The other's clock need not be known: its age counts back from when it was asked. */
   private void onDatedNews(PeerBody.News news, long askedNanos) {
     if (news.storeAgeMillis() != PeerBody.News.NEVER) {
-      long ageNanos = Duration.ofMillis(news.storeAgeMillis()).toNanos();
-      revisions.onConfirmedByPeer(news.storePosition(), askedNanos - ageNanos);
+      Duration age = Duration.ofMillis(news.storeAgeMillis());
+      revisions.onConfirmedByPeer(news.storePosition(), askedNanos, age);
     }
   }
 
--- a/arrowarch-core/src/test/java/io/arrowarch/core/feed/StoreFollowerFreshnessTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/feed/StoreFollowerFreshnessTest.java
@@ -77,12 +77,12 @@
   public void whatAPeerConfirmsCountsOnlyOnceItsChangesAreKnown() {
     answer(100, false);
     pass(Duration.ofSeconds(2));
-    follower.view().onConfirmedByPeer(101, clock.nanoTime());
+    follower.view().onConfirmedByPeer(101, clock.nanoTime(), Duration.ZERO);
     assertThat(follower.view().age()).contains(Duration.ofSeconds(2));
 
-    follower.view().onConfirmedByPeer(100, clock.nanoTime() - Duration.ofMillis(300).toNanos());
+    follower.view().onConfirmedByPeer(100, clock.nanoTime(), Duration.ofMillis(300));
     assertThat(follower.view().age()).contains(Duration.ofMillis(300));
-    follower.view().onConfirmedByPeer(90, clock.nanoTime() - Duration.ofSeconds(1).toNanos());
+    follower.view().onConfirmedByPeer(90, clock.nanoTime(), Duration.ofSeconds(1));
     assertThat(follower.view().age()).contains(Duration.ofMillis(300));
   }
 
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/FollowerFleet.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/FollowerFleet.java
@@ -72,6 +72,7 @@
     final Map<String, FeedItem> known = new HashMap<>();
 
     private final List<Runnable> unread = new ArrayList<>();
+    private final MachineClock machine = new MachineClock(clock);
     private TimerQueue timers = new TimerQueue();
     private int life;
     StoreFollower follower;
@@ -83,6 +84,7 @@
 
     void start() {
       life++;
+      machine.wake();
       known.clear();
       unread.clear();
       paused = false;
@@ -92,7 +94,7 @@
           new RouterPeers(
               record(),
               CONTACTS,
-              clock,
+              machine,
               timers,
               own,
               this,
@@ -101,14 +103,21 @@
               new Revisions(),
               message -> {});
       FeedBounds bounds = new FeedBounds(Duration.ofSeconds(5), BOUND, BOUND, true);
-      Lookouts lookouts = new Lookouts(options(bounds), this, clock);
-      follower = new StoreFollower(this, this, clock, timers, own, bounds, lookouts);
+      Lookouts lookouts = new Lookouts(options(bounds), this, machine);
+      follower = new StoreFollower(this, this, machine, timers, own, bounds, lookouts);
       peers.start();
       follower.start();
     }
 
+    /** The machine stands still, and its steady clock with it. */
+    void suspend() {
+      paused = true;
+      machine.suspend();
+    }
+
     void wake() {
       paused = false;
+      machine.wake();
       List<Runnable> waiting = new ArrayList<>(unread);
       unread.clear();
       waiting.forEach(Runnable::run);
@@ -212,9 +221,8 @@
         lookout.later(
             way(),
             () -> {
-              long receivedNanos = clock.nanoTime();
-              lookout.holdFeed(
-                  this, caller, call, after, receivedNanos, receivedNanos + wait.toNanos());
+              long untilNanos = clock.nanoTime() + wait.toNanos();
+              lookout.holdFeed(this, caller, call, after, lookout.machine.nanoTime(), untilNanos);
             });
       }
     }
@@ -227,7 +235,7 @@
       } else if (changes.isEmpty()) {
         reply(asker, caller, () -> asker.follower.onFailure(call, FeedFailure.HISTORY_GONE));
       } else if (!changes.get().items().isEmpty() || clock.nanoTime() >= untilNanos) {
-        Optional<Duration> age = ageAt(receivedNanos);
+        Optional<Duration> age = follower.view().ageAt(receivedNanos);
         reply(asker, caller, () -> asker.follower.onPeerChanges(call, changes.get(), age));
       } else {
         later(
@@ -236,10 +244,6 @@
       }
     }
 
-    private Optional<Duration> ageAt(long nanos) {
-      return follower.view().asOfNanos().map(asOf -> Duration.ofNanos(nanos - asOf));
-    }
-
     @Override
     public void listFromPeer(String address) {
       Router other = find(address);
@@ -260,7 +264,7 @@
           way(),
           () -> {
             Optional<FeedAnswer> held = other.follower.view().snapshot();
-            Optional<Duration> age = other.ageAt(clock.nanoTime());
+            Optional<Duration> age = other.follower.view().ageAt(other.machine.nanoTime());
             other.reply(
                 this,
                 caller,
@@ -357,8 +361,8 @@
       }
 
       @Override
-      public void onConfirmedByPeer(long position, long asOfNanos) {
-        follower.view().onConfirmedByPeer(position, asOfNanos);
+      public void onConfirmedByPeer(long position, long askedNanos, Duration age) {
+        follower.view().onConfirmedByPeer(position, askedNanos, age);
       }
 
       @Override
@@ -383,7 +387,7 @@
       world.runDue(clock.nanoTime());
       for (Router router : routers) {
         if (!router.paused) {
-          router.timers.runDue(clock.nanoTime());
+          router.timers.runDue(router.machine.nanoTime());
         }
       }
       check.run();
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/FreshnessProperties.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/FreshnessProperties.java
@@ -4,8 +4,11 @@
 
 import io.arrowarch.core.feed.FeedItem;
 import java.time.Duration;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
@@ -37,7 +40,8 @@
     PAUSE,
     RESTART,
     RESTART_ALL,
-    FORGET_HISTORY
+    FORGET_HISTORY,
+    SUSPEND
   }
 
   /** One event, and how long until the next. */
@@ -45,7 +49,16 @@
 
   @Provide
   Arbitrary<List<Step>> steps() {
-    Arbitrary<Event> events = Arbitraries.of(Event.class);
+    return steps(EnumSet.complementOf(EnumSet.of(Event.SUSPEND)));
+  }
+
+  @Provide
+  Arbitrary<List<Step>> stepsWithSuspensions() {
+    return steps(EnumSet.allOf(Event.class));
+  }
+
+  private static Arbitrary<List<Step>> steps(Set<Event> chosen) {
+    Arbitrary<Event> events = Arbitraries.of(chosen);
     Arbitrary<Integer> picks = Arbitraries.integers().between(0, 1_000);
     Arbitrary<Integer> pauses = Arbitraries.integers().between(1, 2_500);
     return Combinators.combine(events, picks, pauses)
@@ -60,6 +73,18 @@
       @ForAll("steps") List<Step> steps,
       @ForAll @IntRange(min = 2, max = 24) int routers,
       @ForAll @IntRange(min = 1, max = 3) int zones) {
+    checkAll(steps, routers, zones);
+  }
+
+  @Property(tries = 60, seed = "20261203", shrinking = ShrinkingMode.OFF)
+  void norIsOneOfAMachineThatWasSuspended(
+      @ForAll("stepsWithSuspensions") List<Step> steps,
+      @ForAll @IntRange(min = 2, max = 24) int routers,
+      @ForAll @IntRange(min = 1, max = 3) int zones) {
+    checkAll(steps, routers, zones);
+  }
+
+  private static void checkAll(List<Step> steps, int routers, int zones) {
     FollowerFleet fleet = new FollowerFleet(routers, zones, steps.size());
     for (int key = 0; key < KEYS; key++) {
       fleet.store.write("key-" + key);
@@ -92,6 +117,7 @@
       }
       case MEND -> mendAll(fleet);
       case PAUSE -> router.paused = true;
+      case SUSPEND -> router.suspend();
       case RESTART -> router.start();
       case RESTART_ALL -> fleet.routers.forEach(FollowerFleet.Router::start);
       case FORGET_HISTORY -> {
@@ -114,10 +140,12 @@
   /** By the date of each view, all that the store held at that moment is known. */
   private static void check(FollowerFleet fleet) {
     for (FollowerFleet.Router router : fleet.routers) {
-      if (router.paused || router.follower.view().asOfNanos().isEmpty()) {
+      // A machine that is suspended reads no clock.
+      Optional<Duration> age = router.paused ? Optional.empty() : router.follower.view().age();
+      if (age.isEmpty()) {
         continue;
       }
-      Map<String, FeedItem> held = fleet.store.asOf(router.follower.view().asOfNanos().get());
+      Map<String, FeedItem> held = fleet.store.asOf(fleet.clock.nanoTime() - age.get().toNanos());
       for (FeedItem item : held.values()) {
         FeedItem known = router.known.get(item.key());
         if (known == null && mayHaveGoneUnseen(fleet, router, item)) {
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/FreshnessTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/FreshnessTest.java
@@ -80,6 +80,24 @@
     assertThat(sleeper.follower.view().age().orElseThrow()).isLessThan(SERVED);
   }
 
+  @Test
+  public void whoseMachineWasSuspendedForTenSecondsKnowsThatItsViewIsOld() {
+    FollowerFleet fleet = new FollowerFleet(12, 3, 6);
+    fleet.run(START, () -> {});
+    FollowerFleet.Router sleeper = fleet.routers.get(2);
+    sleeper.access = FollowerFleet.StoreAccess.CUT;
+    sleeper.cutFromPeers = true;
+    sleeper.suspend();
+    fleet.run(Duration.ofSeconds(10), () -> {});
+    sleeper.wake();
+
+    assertThat(sleeper.follower.view().age().orElseThrow()).isGreaterThan(Duration.ofSeconds(8));
+    sleeper.access = FollowerFleet.StoreAccess.SOUND;
+    sleeper.cutFromPeers = false;
+    fleet.run(Duration.ofSeconds(4), () -> {});
+    assertThat(sleeper.follower.view().age().orElseThrow()).isLessThan(SERVED);
+  }
+
   private static void allFresh(FollowerFleet fleet) {
     for (FollowerFleet.Router router : fleet.routers) {
       assertThat(router.follower.view().age().orElseThrow())
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/ReadinessTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/ReadinessTest.java
@@ -63,7 +63,7 @@
   public void whenItHearsNobodyCallersAreBetterOffElsewhere() {
     nearby = ImmutableList.of();
     assertThat(router.isReady()).isFalse();
-    router.follower().view().onConfirmedByPeer(7, clock.nanoTime());
+    router.follower().view().onConfirmedByPeer(7, clock.nanoTime(), Duration.ZERO);
     assertThat(router.isReady()).isTrue();
   }
 
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/RouterPeersTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/RouterPeersTest.java
@@ -178,8 +178,8 @@
               }
 
               @Override
-              public void onConfirmedByPeer(long revision, long asOfNanos) {
-                confirmedNanos.merge(id, asOfNanos, Math::max);
+              public void onConfirmedByPeer(long revision, long askedNanos, Duration age) {
+                confirmedNanos.merge(id, askedNanos - age.toNanos(), Math::max);
               }
 
               @Override
--- /dev/null
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/SuspectNewsTest.java
@@ -0,0 +1,105 @@
+package io.arrowarch.core.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.arrowarch.core.error.ErrorKind;
+import java.time.Duration;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** What routers tell each other of requests under which servers end. */
+public final class SuspectNewsTest {
+  private static final int ROUTERS = 12;
+  private static final Duration SOON = Duration.ofMillis(300);
+
+  private CrashFleet fleet;
+
+  @BeforeMethod
+  public void create() {
+    fleet = new CrashFleet(ROUTERS, 3, 0, 5);
+  }
+
+  @Test
+  public void allKnowSoonWhatOneHasSeen() {
+    holdBack();
+    fleet.advance(SOON);
+
+    assertAllRefuse();
+  }
+
+  @Test
+  public void aRouterThatStartsAfterwardsIsTold() {
+    holdBack();
+    fleet.advance(SOON);
+    fleet.routers.get(3).kill();
+    fleet.advance(Duration.ofSeconds(20));
+    fleet.routers.get(3).start();
+    fleet.advance(CrashFleet.CONTACT);
+
+    assertRefuses(fleet.routers.get(3));
+  }
+
+  @Test
+  public void aRouterThatWasCutOffIsToldLater() {
+    fleet.routers.get(5).cutOff = true;
+    holdBack();
+    fleet.advance(Duration.ofSeconds(20));
+    fleet.routers.get(5).cutOff = false;
+    fleet.advance(CrashFleet.CONTACT);
+
+    assertRefuses(fleet.routers.get(5));
+  }
+
+  @Test
+  public void whatOneRouterHasClearedIsFreeAtAll() {
+    String sound = "/sound";
+    fleet.routers.get(0).ask(sound);
+    fleet.advance(Duration.ofMillis(5));
+    fleet.endServers(6);
+    fleet.advance(Duration.ofMillis(2_100));
+    fleet.routers.get(1).ask(sound);
+    fleet.advance(SOON);
+    assertThat(fleet.routers.get(1).lastOutcome().isRight()).isTrue();
+
+    for (CrashFleet.Router router : fleet.routers) {
+      router.ask(sound);
+    }
+    fleet.advance(SOON);
+    for (CrashFleet.Router router : fleet.routers) {
+      assertThat(router.lastOutcome().isRight()).as("router " + router.number).isTrue();
+    }
+  }
+
+  @Test
+  public void laterOnlyOneRouterTries() {
+    fleet.routers.get(0).ask(CrashFleet.CRASHING);
+    fleet.advance(Duration.ofSeconds(6));
+    int endedBefore = fleet.ends(CrashFleet.CRASHING);
+    for (CrashFleet.Router router : fleet.routers) {
+      router.ask(CrashFleet.CRASHING);
+    }
+    fleet.advance(SOON);
+
+    assertThat(fleet.ends(CrashFleet.CRASHING) - endedBefore).isEqualTo(1);
+  }
+
+  /** Lets servers end under the request, then the one that it is tried on. */
+  private void holdBack() {
+    fleet.routers.get(0).ask(CrashFleet.CRASHING);
+    fleet.advance(Duration.ofMillis(2_100));
+    fleet.routers.get(1).ask(CrashFleet.CRASHING);
+    fleet.advance(Duration.ofMillis(100));
+    assertThat(fleet.ends(CrashFleet.CRASHING)).isGreaterThanOrEqualTo(4);
+  }
+
+  private void assertAllRefuse() {
+    fleet.routers.forEach(this::assertRefuses);
+  }
+
+  private void assertRefuses(CrashFleet.Router router) {
+    router.ask(CrashFleet.CRASHING);
+    assertThat(router.lastOutcome().getLeft().kind())
+        .as("router " + router.number)
+        .isEqualTo(ErrorKind.ENDS_SERVERS);
+  }
+}
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/FeedServer.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/FeedServer.java
@@ -9,7 +9,6 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServerRequest;
-import java.time.Duration;
 import java.util.LinkedHashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -168,10 +167,8 @@
     follower
         .get()
         .view()
-        .asOfNanos()
-        .ifPresent(
-            asOf ->
-                ViewAge.put(request.response().headers(), Duration.ofNanos(receivedNanos - asOf)));
+        .ageAt(receivedNanos)
+        .ifPresent(age -> ViewAge.put(request.response().headers(), age));
   }
 
   private static void end(HttpServerRequest request, int status) {
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/FollowedRevisions.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/FollowedRevisions.java
@@ -30,8 +30,8 @@
   }
 
   @Override
-  public void onConfirmedByPeer(long position, long asOfNanos) {
-    follower.get().view().onConfirmedByPeer(position, asOfNanos);
+  public void onConfirmedByPeer(long position, long askedNanos, Duration age) {
+    follower.get().view().onConfirmedByPeer(position, askedNanos, age);
   }
 
   @Override
