--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/AttemptSender.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/AttemptSender.java
@@ -273,8 +273,8 @@
             server.stalledNanos(nowNanos) / NANOS_PER_MILLI,
             server.slowness(nowNanos),
             budgets.left(part.service(), nowNanos),
-            execution.elapsedMillis(nowNanos),
-            execution.leftMillis(nowNanos)));
+            execution.log().elapsedMillis(nowNanos),
+            execution.log().leftMillis(nowNanos)));
   }
 
   private static AttemptVerdict verdictOf(ServerReply reply) {
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
@@ -5,7 +5,6 @@
 import io.arrowarch.core.error.Executed;
 import io.arrowarch.core.error.QueryError;
 import io.arrowarch.core.event.EventLog;
-import io.arrowarch.core.event.RouterEvent;
 import io.arrowarch.core.forward.PartProgress.OpenAttempt;
 import io.arrowarch.core.route.Route;
 import io.arrowarch.core.route.RouteTarget;
@@ -21,8 +20,6 @@
 
 /** One request from its admission to its final answer. */
 final class ForwardExecution {
-  private static final double NANOS_PER_MILLI = 1e6;
-
   /** With less time than this left no server can answer: the way there and back takes as long. */
   private static final long LEAST_TIME_NANOS = 3_000_000;
 
@@ -40,7 +37,7 @@
   private final TimerLateness lateness;
   private final RouterClock clock;
   private final TimerQueue timers;
-  private final EventLog events;
+  private final RequestLog log;
   private final Consumer<Either<QueryError, ForwardedAnswer>> sink;
   private final Hedging hedging;
   private final HandedParts handedParts;
@@ -81,7 +78,7 @@
     this.lateness = lateness;
     this.clock = clock;
     this.timers = timers;
-    this.events = events;
+    this.log = new RequestLog(request, route, version, times, watch, clock, events);
     this.sink = sink;
     this.handedParts = new HandedParts(this, parts);
     this.hedging =
@@ -148,12 +145,8 @@
     return times.attemptDeadlineNanos();
   }
 
-  double elapsedMillis(long nowNanos) {
-    return (nowNanos - times.arrivalNanos()) / NANOS_PER_MILLI;
-  }
-
-  double leftMillis(long nowNanos) {
-    return (times.giveUpNanos() - nowNanos) / NANOS_PER_MILLI;
+  RequestLog log() {
+    return log;
   }
 
   void recordLatency(long nanos, long nowNanos) {
@@ -301,7 +294,7 @@
       }
       tryAgain(part, attempt, failure.logName(), 0, failure.maybeRun());
     } else {
-      logFailed(part, attempt, failure.logName(), 0, "the request is over");
+      log.attemptFailed(part, attempt, failure.logName(), 0, "the request is over");
     }
     settlePostponed();
   }
@@ -338,7 +331,7 @@
   private void tryAgain(
       PartProgress part, OpenAttempt attempt, String outcome, int status, boolean mayHaveRun) {
     AfterFailure next = AfterFailure.of(part, mayHaveRun, route, pace(), sender, clock.nanoTime());
-    logFailed(part, attempt, outcome, status, next.logName());
+    log.attemptFailed(part, attempt, outcome, status, next.logName());
     if (next == AfterFailure.RETRY) {
       startPart(part);
     } else if (next != AfterFailure.WAIT) {
@@ -346,20 +339,6 @@
     }
   }
 
-  private void logFailed(
-      PartProgress part, OpenAttempt attempt, String outcome, int status, String next) {
-    events.log(
-        new RouterEvent.AttemptFailed(
-            request.id(),
-            attempt.attempt().number(),
-            part.service(),
-            attempt.attempt().server().id(),
-            outcome,
-            status,
-            (clock.nanoTime() - attempt.startNanos()) / NANOS_PER_MILLI,
-            next));
-  }
-
   private void lose(PartProgress part) {
     part.onLost();
     tally.onLost(1);
@@ -453,24 +432,7 @@
     ownTimers.forEach(TimerQueue.Timer::cancel);
     ownTimers.clear();
     hedging.stop();
-    long nowNanos = clock.nanoTime();
-    int sent = tally.sent();
-    events.log(
-        new RouterEvent.RequestEnded(
-            request.id(),
-            error.isEmpty() ? "" : watch.key().logName(),
-            route.name(),
-            version,
-            outcome,
-            error,
-            reason,
-            tally.in(),
-            parts.size(),
-            sent,
-            Math.max(0, sent - parts.size()),
-            elapsedMillis(nowNanos),
-            leftMillis(nowNanos),
-            tally.describeMissing(nowNanos)));
+    log.ended(outcome, error, reason, tally);
     if (!isSearch()) {
       // Attempts of one server may be long; those of a search end soon, and closing costs more.
       parts.forEach(sender::cancelAll);
