First ends under a request go to two routers that count, not to all

Cause: each broken connection of a request to one server was news for every router: with 77 routers some 600 datagrams, and where connections are reset they come by the hundred. Change: ResponsibleRouters, by rendezvous hash; only what changes how a request is treated goes to all.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/suspect/SuspectNews.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/suspect/SuspectNews.java
@@ -1,6 +1,8 @@
 package io.arrowarch.core.suspect;
 
+import com.google.common.collect.ArrayListMultimap;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ListMultimap;
 import com.google.common.collect.Lists;
 import io.arrowarch.core.peer.NearbyRouter;
 import io.arrowarch.core.peer.PeerBody;
@@ -22,7 +24,8 @@
 /**
  * Spreads what routers know of suspected requests: what is new goes to a few random routers, each
  * of which passes on what is new to it, so that all know it after a few steps whatever their
- * number. What was lost on the way, or came before a router started, is repaired by repeating all
+ * number. First ends, which come by the hundred where connections are reset, go to two routers that
+ * count. What was lost on the way, or came before a router started, is repaired by repeating all
  * that is held against requests to random routers, and by asking after a start.
  */
 final class SuspectNews {
@@ -52,13 +55,14 @@
   private static final int MOST_REPORTS_AT_ONCE = 64;
 
   private final PeerGroup peers;
+  private final ResponsibleRouters responsible;
   private final RouterClock clock;
   private final TimerQueue timers;
   private final RandomGenerator random;
   private final Function<RequestKey, Optional<PeerBody.SuspectReport>> reports;
   private final Supplier<ImmutableList<RequestKey>> known;
   private final Set<RequestKey> untold = new LinkedHashSet<>();
-  private long tellNanos = Long.MAX_VALUE;
+  private final Set<RequestKey> uncounted = new LinkedHashSet<>();
   private boolean repairs;
 
   /**
@@ -69,12 +73,14 @@
    */
   SuspectNews(
       PeerGroup peers,
+      ResponsibleRouters responsible,
       RouterClock clock,
       TimerQueue timers,
       RandomGenerator random,
       Function<RequestKey, Optional<PeerBody.SuspectReport>> reports,
       Supplier<ImmutableList<RequestKey>> known) {
     this.peers = peers;
+    this.responsible = responsible;
     this.clock = clock;
     this.timers = timers;
     this.random = random;
@@ -89,40 +95,46 @@
     }
   }
 
-  /**
-   * Tells others of a request soon.
-   *
-   * @param urgent whether it is, or was, kept from servers
-   */
-  void tell(RequestKey key, boolean urgent) {
-    untold.add(key);
-    Duration delay = urgent ? URGENT_DELAY : FIRST_ENDS_DELAY;
-    long dueNanos = clock.nanoTime() + delay.toNanos();
-    if (dueNanos < tellNanos) {
-      tellNanos = dueNanos;
-      timers.schedule(dueNanos, () -> tellAll(dueNanos));
+  /** Soon tells all routers of a request that is, or was, kept from servers. */
+  void tellAll(RequestKey key) {
+    if (untold.isEmpty()) {
+      timers.schedule(clock.nanoTime() + URGENT_DELAY.toNanos(), this::spread);
     }
+    untold.add(key);
     if (!repairs) {
       repairs = true;
       scheduleRepair();
     }
   }
 
+  /** Later tells the routers that count the first ends under a request. */
+  void tellResponsible(RequestKey key) {
+    if (uncounted.isEmpty()) {
+      timers.schedule(clock.nanoTime() + FIRST_ENDS_DELAY.toNanos(), this::count);
+    }
+    uncounted.add(key);
+  }
+
   /** Tells a router that has asked all that is held against requests. */
   void answer(String address) {
     send(address, known.get());
   }
 
-  private void tellAll(long dueNanos) {
-    if (dueNanos != tellNanos) {
-      return;
-    }
-    tellNanos = Long.MAX_VALUE;
+  private void spread() {
     ImmutableList<RequestKey> keys = ImmutableList.copyOf(untold);
     untold.clear();
     sample(FANOUT).forEach(address -> send(address, keys));
   }
 
+  private void count() {
+    ListMultimap<String, RequestKey> byRouter = ArrayListMultimap.create();
+    for (RequestKey key : uncounted) {
+      responsible.others(key).forEach(address -> byRouter.put(address, key));
+    }
+    uncounted.clear();
+    byRouter.asMap().forEach(this::send);
+  }
+
   private void ask() {
     sample(1).forEach(address -> peers.send(address, new PeerBody.SuspectQuestion()));
   }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/suspect/SuspectRequests.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/suspect/SuspectRequests.java
@@ -1,8 +1,6 @@
 package io.arrowarch.core.suspect;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.hash.HashFunction;
-import com.google.common.hash.Hashing;
 import io.arrowarch.core.event.EventLog;
 import io.arrowarch.core.event.RouterEvent;
 import io.arrowarch.core.peer.PeerBody;
@@ -10,7 +8,6 @@
 import io.arrowarch.core.peer.PeerMessage;
 import io.arrowarch.core.time.RouterClock;
 import io.arrowarch.core.time.TimerQueue;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -27,11 +24,9 @@
  * it comes again).
  */
 public final class SuspectRequests {
-  private static final HashFunction HASH = Hashing.murmur3_128();
-
   private final String ownId;
   private final SuspectRules rules;
-  private final PeerGroup peers;
+  private final ResponsibleRouters responsible;
   private final RouterClock clock;
   private final EventLog events;
   private final SuspectNews news;
@@ -59,10 +54,11 @@
       EventLog events) {
     this.ownId = ownId;
     this.rules = rules;
-    this.peers = peers;
+    this.responsible = new ResponsibleRouters(ownId, peers);
     this.clock = clock;
     this.events = events;
-    this.news = new SuspectNews(peers, clock, timers, random, this::report, this::known);
+    this.news =
+        new SuspectNews(peers, responsible, clock, timers, random, this::report, this::known);
   }
 
   /** Asks the others for theirs, also later: they may have started together. */
@@ -109,20 +105,7 @@
    * each other's trials do not send the request to several servers.
    */
   private boolean mayTry(RequestKey key, RequestCase known, long nowNanos) {
-    return !known.isOnTrial() && (known.isTrialTime(nowNanos) || isResponsibleFor(key));
-  }
-
-  private boolean isResponsibleFor(RequestKey key) {
-    long own = weight(key, ownId);
-    return peers.nearby().stream().noneMatch(router -> weight(key, router.id()) < own);
-  }
-
-  private static long weight(RequestKey key, String router) {
-    return HASH.newHasher()
-        .putString(key.text(), StandardCharsets.UTF_8)
-        .putString(router, StandardCharsets.UTF_8)
-        .hash()
-        .asLong();
+    return !known.isOnTrial() && (known.isTrialTime(nowNanos) || responsible.isSelf(key));
   }
 
   /** What is believed of a request. */
@@ -236,7 +219,11 @@
     if (now != before) {
       events.log(new RouterEvent.SuspectChanged(key.logName(), now.logName(), known.ends(), by));
     }
-    news.tell(key, now != Standing.FREE || before != Standing.FREE);
+    if (now != Standing.FREE || before != Standing.FREE) {
+      news.tellAll(key);
+    } else if (by.equals(ownId)) {
+      news.tellResponsible(key);
+    }
   }
 
   private Optional<PeerBody.SuspectReport> report(RequestKey key) {
