Requests that end servers: canary, quarantine and clearance in place of own words; what is over is forgotten

Names: SuspectRecord, ReportKind, Standing.QUARANTINED, canary for the run on one server. Cause of the other change, found by reading: first ends were forgotten only when another request lost a server, so that after one broken connection every request was hashed for good; now within ten seconds of their end (CrashGuardTest.firstEndsAreForgotten...).

--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/CrashGuard.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/CrashGuard.java
@@ -23,7 +23,7 @@
  * one server first. A request of which nothing is known passes without being looked at.
  */
 final class CrashGuard {
-  private static final String HELD_BACK = "servers that ran this request have ended";
+  private static final String DETAIL = "servers that ran this request have ended";
 
   private final SuspectRequests suspects;
   private final Predicate<String> hasServer;
@@ -34,7 +34,7 @@
   /** Runs a request that may run. */
   interface Runner {
     /**
-     * Runs it, or a trial of it.
+     * Runs it, or a canary of it.
      *
      * @param mayHandOn whether other routers may gather for it
      */
@@ -78,17 +78,17 @@
     return switch (suspects.admit(key)) {
       case RUN ->
           runner.run(request, route, RequestWatch.of(suspects, request, permit), true, sink);
-      case HOLD_BACK -> refusals.refuse(request, ErrorKind.ENDS_SERVERS, HELD_BACK, sink);
-      case TRY_ON_ONE_SERVER -> {
-        Trial trial = new Trial(request, route, permit, key, runner, sink);
-        trial.start();
-        yield trial;
+      case REFUSE -> refusals.refuse(request, ErrorKind.ENDS_SERVERS, DETAIL, sink);
+      case CANARY -> {
+        Canary canary = new Canary(request, route, permit, key, runner, sink);
+        canary.start();
+        yield canary;
       }
     };
   }
 
   /** A request on one server, and then as usual if that answers it. */
-  private final class Trial implements ForwardHandle {
+  private final class Canary implements ForwardHandle {
     private final ForwardedRequest request;
     private final Route route;
     private final RunPermit permit;
@@ -100,7 +100,7 @@
     private ForwardHandle running = ForwardHandle.NONE;
     private boolean passed;
 
-    Trial(
+    Canary(
         ForwardedRequest request,
         Route route,
         RunPermit permit,
@@ -113,19 +113,19 @@
       this.key = key;
       this.runner = runner;
       this.sink = sink;
-      this.watch = RequestWatch.ofTrial(suspects, request, permit);
+      this.watch = RequestWatch.ofCanary(suspects, request, permit);
     }
 
     void start() {
-      ForwardHandle trial = runner.run(request, onOneServer(route), watch, false, this::onEnded);
+      ForwardHandle canary = runner.run(request, onOneServer(route), watch, false, this::onEnded);
       if (!passed) {
-        running = trial;
+        running = canary;
       }
     }
 
     private void onEnded(Either<QueryError, ForwardedAnswer> outcome) {
       boolean mayHaveRun = outcome.isRight() || outcome.getLeft().executed() != Executed.NO;
-      suspects.onTrialEnded(key, mayHaveRun);
+      suspects.onCanaryEnded(key, mayHaveRun);
       boolean isWhole = route.target() instanceof RouteTarget.OneServer;
       if (isWhole || !watch.isAnswered()) {
         sink.accept(outcome);
@@ -140,7 +140,7 @@
     @Override
     public void cancel() {
       running.cancel();
-      suspects.onTrialEnded(key, true);
+      suspects.onCanaryEnded(key, true);
     }
   }
 
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/RequestWatch.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/RequestWatch.java
@@ -13,16 +13,16 @@
   private final SuspectRequests suspects;
   private final ForwardedRequest request;
   private final RunPermit permit;
-  private final boolean trial;
+  private final boolean canary;
   private Optional<RequestKey> key = Optional.empty();
   private boolean answered;
 
   private RequestWatch(
-      SuspectRequests suspects, ForwardedRequest request, RunPermit permit, boolean trial) {
+      SuspectRequests suspects, ForwardedRequest request, RunPermit permit, boolean canary) {
     this.suspects = suspects;
     this.request = request;
     this.permit = permit;
-    this.trial = trial;
+    this.canary = canary;
   }
 
   /** Of a request that runs as usual. */
@@ -31,7 +31,7 @@
   }
 
   /** Of a request that is tried on one server, since it may end it. */
-  static RequestWatch ofTrial(
+  static RequestWatch ofCanary(
       SuspectRequests suspects, ForwardedRequest request, RunPermit permit) {
     return new RequestWatch(suspects, request, permit, true);
   }
@@ -60,7 +60,7 @@
       return false;
     }
     Standing standing = suspects.standing(key());
-    return trial ? standing == Standing.HELD_BACK : standing != Standing.FREE;
+    return canary ? standing == Standing.QUARANTINED : standing != Standing.FREE;
   }
 
   /** Whether a server has run it to an answer. */
@@ -79,7 +79,7 @@
   /** A connection broke while the request was open there: the server may have ended under it. */
   void onConnectionBroken(String server) {
     if (!answered) {
-      suspects.onServerEnded(key(), server, trial);
+      suspects.onServerEnded(key(), server, canary);
     }
   }
 
--- a/arrowarch-core/src/main/java/io/arrowarch/core/peer/PeerBody.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/peer/PeerBody.java
@@ -131,11 +131,11 @@
    * What the sender knows of one request.
    *
    * @param request hash by which it is known again
-   * @param verdict accused, convicted or cleared
+   * @param kind ends, quarantine or clearance
    * @param servers that have ended under it; no more than make it suspected
    * @param ageMillis how long ago the newest of this happened
    */
-  record SuspectReport(String request, String verdict, List<String> servers, long ageMillis) {
+  record SuspectReport(String request, String kind, List<String> servers, long ageMillis) {
     public SuspectReport {
       servers = ImmutableList.copyOf(servers);
     }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/suspect/Standing.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/suspect/Standing.java
@@ -9,7 +9,7 @@
   /** Several servers have ended under it and none has answered it: it is tried on one first. */
   SUSPECTED,
   /** It has ended the server that it was tried on: no server gets it. */
-  HELD_BACK;
+  QUARANTINED;
 
   /** The word in logs. */
   public String logName() {
--- a/arrowarch-core/src/main/java/io/arrowarch/core/suspect/SuspectNews.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/suspect/SuspectNews.java
@@ -26,7 +26,7 @@
  * of which passes on what is new to it, so that all know it after a few steps whatever their
  * number. First ends, which come by the hundred where connections are reset, go to two routers that
  * count. What was lost on the way, or came before a router started, is repaired by repeating all
- * that is held against requests to random routers, and by asking after a start.
+ * that is known against requests to random routers, and by asking after a start.
  */
 final class SuspectNews {
   /** Routers that news goes to; with eight all but one in three thousand hear of it. */
@@ -115,7 +115,7 @@
     uncounted.add(key);
   }
 
-  /** Tells a router that has asked all that is held against requests. */
+  /** Tells a router that has asked all that is known against requests. */
   void answer(String address) {
     send(address, known.get());
   }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/suspect/RequestCase.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/suspect/SuspectRecord.java
@@ -8,17 +8,19 @@
 import java.util.Set;
 
 /** What is known for and against one request. Times are this router's. */
-final class RequestCase {
+final class SuspectRecord {
   /**
    * How long an answer speaks for a request: what has been in flight when servers ended under
    * another one is told late.
    */
-  private static final Duration CLEARANCE = Duration.ofSeconds(30);
+  private static final Duration CLEARANCE_LENGTH = Duration.ofSeconds(30);
 
-  /** Trials that end neither with an answer nor with the server before the request is held back. */
-  private static final int MOST_TRIALS_WITHOUT_VERDICT = 3;
+  /**
+   * Canaries that end neither with an answer nor with the server before the request is quarantined.
+   */
+  private static final int MOST_CANARIES_WITHOUT_RESULT = 3;
 
-  /** A conviction that differs by less from the known one is no news. */
+  /** A quarantine that differs by less from the known one is no news. */
   private static final long SAME_MOMENT_NANOS = Duration.ofSeconds(1).toNanos();
 
   private static final long NEVER = Long.MIN_VALUE;
@@ -26,22 +28,22 @@
   private final SuspectRules rules;
   private final Set<String> ended = new LinkedHashSet<>();
   private long newestEndNanos = NEVER;
-  private long convictedNanos = NEVER;
+  private long quarantinedNanos = NEVER;
   private long clearedNanos = NEVER;
   private long lastSeenNanos;
-  private int trialsWithoutVerdict;
-  private boolean onTrial;
+  private int canariesWithoutResult;
+  private boolean canaryRuns;
 
-  RequestCase(SuspectRules rules, long nowNanos) {
+  SuspectRecord(SuspectRules rules, long nowNanos) {
     this.rules = rules;
     this.lastSeenNanos = nowNanos;
   }
 
   Standing standing(long nowNanos) {
-    if (convictedNanos != NEVER && nowNanos - convictedNanos < rules.hold().toNanos()) {
-      return Standing.HELD_BACK;
+    if (quarantinedNanos != NEVER && nowNanos - quarantinedNanos < rules.hold().toNanos()) {
+      return Standing.QUARANTINED;
     }
-    return convictedNanos != NEVER || ended.size() >= rules.endsToSuspect()
+    return quarantinedNanos != NEVER || ended.size() >= rules.endsToSuspect()
         ? Standing.SUSPECTED
         : Standing.FREE;
   }
@@ -58,50 +60,50 @@
     lastSeenNanos = nowNanos;
   }
 
-  boolean isOnTrial() {
-    return onTrial;
+  boolean hasCanary() {
+    return canaryRuns;
   }
 
   /** Whether every router may try it, not only the one that is responsible. */
-  boolean isTrialTime(long nowNanos) {
-    return convictedNanos == NEVER && nowNanos - newestEndNanos < rules.trialTime().toNanos();
+  boolean isCanaryTime(long nowNanos) {
+    return quarantinedNanos == NEVER && nowNanos - newestEndNanos < rules.canaryTime().toNanos();
   }
 
-  void onTrialStarted() {
-    onTrial = true;
+  void onCanaryStarted() {
+    canaryRuns = true;
   }
 
   /**
-   * A trial is over; its answer or its end under the request has been told before.
+   * A canary is over; its answer or its end under the request has been told before.
    *
    * @param mayHaveRun whether it has reached a server
    */
-  void onTrialEnded(boolean mayHaveRun, long nowNanos) {
-    if (!onTrial) {
+  void onCanaryEnded(boolean mayHaveRun, long nowNanos) {
+    if (!canaryRuns) {
       return;
     }
-    onTrial = false;
-    trialsWithoutVerdict += mayHaveRun ? 1 : 0;
-    if (trialsWithoutVerdict >= MOST_TRIALS_WITHOUT_VERDICT) {
-      convict(nowNanos);
+    canaryRuns = false;
+    canariesWithoutResult += mayHaveRun ? 1 : 0;
+    if (canariesWithoutResult >= MOST_CANARIES_WITHOUT_RESULT) {
+      quarantine(nowNanos);
     }
   }
 
   /**
    * A server has ended while the request was open there.
    *
-   * @param byTrial whether it was the server that the request was tried on
+   * @param byCanary whether it was the server that the request was tried on
    * @return whether that is news
    */
-  boolean onServerEnded(String server, boolean byTrial, long endNanos) {
+  boolean onServerEnded(String server, boolean byCanary, long endNanos) {
     lastSeenNanos = Math.max(lastSeenNanos, endNanos);
     if (isCleared(endNanos)) {
       return false;
     }
-    if (byTrial) {
-      onTrial = false;
+    if (byCanary) {
+      canaryRuns = false;
       ended.add(server);
-      convict(endNanos);
+      quarantine(endNanos);
       return true;
     }
     return ended.size() < rules.endsToSuspect() && add(server, endNanos);
@@ -115,9 +117,9 @@
     return added;
   }
 
-  private void convict(long nanos) {
-    convictedNanos = nanos;
-    trialsWithoutVerdict = 0;
+  private void quarantine(long nanos) {
+    quarantinedNanos = nanos;
+    canariesWithoutResult = 0;
   }
 
   /**
@@ -129,18 +131,18 @@
     if (nanos <= clearedNanos) {
       return false;
     }
-    boolean news = !ended.isEmpty() || convictedNanos != NEVER;
+    boolean news = !ended.isEmpty() || quarantinedNanos != NEVER;
     clearedNanos = nanos;
     ended.clear();
     newestEndNanos = NEVER;
-    convictedNanos = NEVER;
-    trialsWithoutVerdict = 0;
-    onTrial = false;
+    quarantinedNanos = NEVER;
+    canariesWithoutResult = 0;
+    canaryRuns = false;
     return news;
   }
 
   private boolean isCleared(long nanos) {
-    return clearedNanos != NEVER && nanos - clearedNanos < CLEARANCE.toNanos();
+    return clearedNanos != NEVER && nanos - clearedNanos < CLEARANCE_LENGTH.toNanos();
   }
 
   /**
@@ -149,12 +151,12 @@
    * @param asOfNanos when the newest of it happened
    * @return whether that is news
    */
-  boolean merge(Verdict verdict, List<String> servers, long asOfNanos) {
+  boolean merge(ReportKind kind, List<String> servers, long asOfNanos) {
     lastSeenNanos = Math.max(lastSeenNanos, asOfNanos);
-    return switch (verdict) {
-      case CLEARED -> onAnswered(asOfNanos);
-      case ACCUSED -> !isCleared(asOfNanos) && addAll(servers, asOfNanos);
-      case CONVICTED -> !isCleared(asOfNanos) && mergeConviction(servers, asOfNanos);
+    return switch (kind) {
+      case CLEARANCE -> onAnswered(asOfNanos);
+      case ENDS -> !isCleared(asOfNanos) && addAll(servers, asOfNanos);
+      case QUARANTINE -> !isCleared(asOfNanos) && mergeQuarantine(servers, asOfNanos);
     };
   }
 
@@ -168,37 +170,37 @@
     return news;
   }
 
-  private boolean mergeConviction(List<String> servers, long asOfNanos) {
+  private boolean mergeQuarantine(List<String> servers, long asOfNanos) {
     boolean unused = addAll(servers, asOfNanos);
-    if (convictedNanos != NEVER && asOfNanos - convictedNanos < SAME_MOMENT_NANOS) {
+    if (quarantinedNanos != NEVER && asOfNanos - quarantinedNanos < SAME_MOMENT_NANOS) {
       return false;
     }
-    onTrial = false;
-    convict(asOfNanos);
+    canaryRuns = false;
+    quarantine(asOfNanos);
     return true;
   }
 
   /** What other routers are told. */
   PeerBody.SuspectReport report(RequestKey key, long nowNanos) {
-    Verdict verdict =
-        convictedNanos != NEVER
-            ? Verdict.CONVICTED
-            : ended.isEmpty() ? Verdict.CLEARED : Verdict.ACCUSED;
+    ReportKind kind =
+        quarantinedNanos != NEVER
+            ? ReportKind.QUARANTINE
+            : ended.isEmpty() ? ReportKind.CLEARANCE : ReportKind.ENDS;
     long asOfNanos =
-        switch (verdict) {
-          case CONVICTED -> convictedNanos;
-          case CLEARED -> clearedNanos;
-          case ACCUSED -> newestEndNanos;
+        switch (kind) {
+          case QUARANTINE -> quarantinedNanos;
+          case CLEARANCE -> clearedNanos;
+          case ENDS -> newestEndNanos;
         };
     long age = Duration.ofNanos(Math.max(0, nowNanos - asOfNanos)).toMillis();
     return new PeerBody.SuspectReport(
-        key.text(), verdict.wireName(), ImmutableList.copyOf(ended), age);
+        key.text(), kind.wireName(), ImmutableList.copyOf(ended), age);
   }
 
   /** Whether it need not be remembered any more. */
   boolean isOver(long nowNanos) {
     boolean free = standing(nowNanos) == Standing.FREE;
-    Duration kept = free ? CLEARANCE : rules.memory();
+    Duration kept = free ? CLEARANCE_LENGTH : rules.memory();
     return nowNanos - lastSeenNanos > kept.toNanos();
   }
 }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/suspect/SuspectRequests.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/suspect/SuspectRequests.java
@@ -24,23 +24,26 @@
  * it comes again).
  */
 public final class SuspectRequests {
+  private static final Duration FORGET_INTERVAL = Duration.ofSeconds(10);
+
   private final String ownId;
   private final SuspectRules rules;
   private final ResponsibleRouters responsible;
   private final RouterClock clock;
+  private final TimerQueue timers;
   private final EventLog events;
   private final SuspectNews news;
-  private final Map<RequestKey, RequestCase> cases = new LinkedHashMap<>();
+  private final Map<RequestKey, SuspectRecord> records = new LinkedHashMap<>();
   private long refused;
 
   /** What may be done with a request that has come. */
   public enum Admission {
     /** It runs like any other. */
     RUN,
-    /** It is sent to one server; {@link #onTrialEnded} must be told the end of that. */
-    TRY_ON_ONE_SERVER,
+    /** It is sent to one server; {@link #onCanaryEnded} must be told the end of that. */
+    CANARY,
     /** No server gets it. */
-    HOLD_BACK
+    REFUSE
   }
 
   /** Creates a router's list, which is empty. */
@@ -56,6 +59,7 @@
     this.rules = rules;
     this.responsible = new ResponsibleRouters(ownId, peers);
     this.clock = clock;
+    this.timers = timers;
     this.events = events;
     this.news =
         new SuspectNews(peers, responsible, clock, timers, random, this::report, this::known);
@@ -68,13 +72,13 @@
 
   /** Whether nothing is known against any request, so that none needs its key. */
   public boolean isEmpty() {
-    return cases.isEmpty();
+    return records.isEmpty();
   }
 
-  /** Requests that are suspected or held back. */
+  /** Requests that are suspected or quarantined. */
   public long count() {
     long nowNanos = clock.nanoTime();
-    return cases.values().stream()
+    return records.values().stream()
         .filter(known -> known.standing(nowNanos) != Standing.FREE)
         .count();
   }
@@ -86,51 +90,51 @@
 
   /** Decides on a request that has come. */
   public Admission admit(RequestKey key) {
-    RequestCase known = cases.get(key);
+    SuspectRecord known = records.get(key);
     long nowNanos = clock.nanoTime();
     if (known == null || known.standing(nowNanos) == Standing.FREE) {
       return Admission.RUN;
     }
     known.onSeen(nowNanos);
-    if (known.standing(nowNanos) == Standing.SUSPECTED && mayTry(key, known, nowNanos)) {
-      known.onTrialStarted();
-      return Admission.TRY_ON_ONE_SERVER;
+    if (known.standing(nowNanos) == Standing.SUSPECTED && mayRunCanary(key, known, nowNanos)) {
+      known.onCanaryStarted();
+      return Admission.CANARY;
     }
     refused++;
-    return Admission.HOLD_BACK;
+    return Admission.REFUSE;
   }
 
   /**
    * Later than shortly after the ends only one router tries, so that routers that have not heard of
-   * each other's trials do not send the request to several servers.
+   * each other's canaries do not send the request to several servers.
    */
-  private boolean mayTry(RequestKey key, RequestCase known, long nowNanos) {
-    return !known.isOnTrial() && (known.isTrialTime(nowNanos) || responsible.isSelf(key));
+  private boolean mayRunCanary(RequestKey key, SuspectRecord known, long nowNanos) {
+    return !known.hasCanary() && (known.isCanaryTime(nowNanos) || responsible.isSelf(key));
   }
 
   /** What is believed of a request. */
   public Standing standing(RequestKey key) {
-    RequestCase known = cases.get(key);
+    SuspectRecord known = records.get(key);
     return known == null ? Standing.FREE : known.standing(clock.nanoTime());
   }
 
   /**
    * A server has ended while a request was open there, as far as its connection tells.
    *
-   * @param byTrial whether the request was tried on that server
+   * @param byCanary whether the request was tried on that server
    */
-  public void onServerEnded(RequestKey key, String server, boolean byTrial) {
+  public void onServerEnded(RequestKey key, String server, boolean byCanary) {
     long nowNanos = clock.nanoTime();
-    RequestCase known = caseOf(key, nowNanos);
+    SuspectRecord known = recordOf(key, nowNanos);
     Standing before = known.standing(nowNanos);
-    if (known.onServerEnded(server, byTrial, nowNanos)) {
+    if (known.onServerEnded(server, byCanary, nowNanos)) {
       onNews(key, known, before, ownId, nowNanos);
     }
   }
 
   /** A server has run a request to an answer: it does not end servers. */
   public void onAnswered(RequestKey key) {
-    RequestCase known = cases.get(key);
+    SuspectRecord known = records.get(key);
     if (known == null) {
       return;
     }
@@ -146,14 +150,14 @@
    *
    * @param mayHaveRun whether it has reached a server
    */
-  public void onTrialEnded(RequestKey key, boolean mayHaveRun) {
-    RequestCase known = cases.get(key);
+  public void onCanaryEnded(RequestKey key, boolean mayHaveRun) {
+    SuspectRecord known = records.get(key);
     if (known == null) {
       return;
     }
     long nowNanos = clock.nanoTime();
     Standing before = known.standing(nowNanos);
-    known.onTrialEnded(mayHaveRun, nowNanos);
+    known.onCanaryEnded(mayHaveRun, nowNanos);
     if (known.standing(nowNanos) != before) {
       onNews(key, known, before, ownId, nowNanos);
     }
@@ -170,42 +174,57 @@
   }
 
   private void take(PeerBody.SuspectReport report, String by) {
-    Optional<Verdict> verdict = Verdict.ofWireName(report.verdict());
-    if (verdict.isEmpty()) {
+    Optional<ReportKind> kind = ReportKind.ofWireName(report.kind());
+    if (kind.isEmpty()) {
       return;
     }
     long nowNanos = clock.nanoTime();
     RequestKey key = new RequestKey(report.request());
-    RequestCase known = caseOf(key, nowNanos);
+    SuspectRecord known = recordOf(key, nowNanos);
     Standing before = known.standing(nowNanos);
     long asOfNanos = nowNanos - Duration.ofMillis(report.ageMillis()).toNanos();
-    if (known.merge(verdict.get(), report.servers(), asOfNanos)) {
+    if (known.merge(kind.get(), report.servers(), asOfNanos)) {
       onNews(key, known, before, by, nowNanos);
     }
   }
 
-  private RequestCase caseOf(RequestKey key, long nowNanos) {
-    RequestCase known = cases.get(key);
+  private SuspectRecord recordOf(RequestKey key, long nowNanos) {
+    SuspectRecord known = records.get(key);
     if (known == null) {
       forgetWhatIsOver(nowNanos);
-      known = new RequestCase(rules, nowNanos);
-      cases.put(key, known);
+      if (records.isEmpty()) {
+        forgetLater();
+      }
+      known = new SuspectRecord(rules, nowNanos);
+      records.put(key, known);
     }
     return known;
   }
 
+  /** Once nothing is known any more, no request needs its key. */
+  private void forgetLater() {
+    timers.schedule(
+        clock.nanoTime() + FORGET_INTERVAL.toNanos(),
+        () -> {
+          forgetWhatIsOver(clock.nanoTime());
+          if (!records.isEmpty()) {
+            forgetLater();
+          }
+        });
+  }
+
   private void forgetWhatIsOver(long nowNanos) {
-    cases.values().removeIf(known -> known.isOver(nowNanos));
-    while (cases.size() >= rules.mostRequests()) {
-      cases.remove(seenLongestAgo());
+    records.values().removeIf(known -> known.isOver(nowNanos));
+    while (records.size() >= rules.mostRequests()) {
+      records.remove(seenLongestAgo());
     }
   }
 
   private RequestKey seenLongestAgo() {
-    Iterator<Map.Entry<RequestKey, RequestCase>> entries = cases.entrySet().iterator();
-    Map.Entry<RequestKey, RequestCase> oldest = entries.next();
+    Iterator<Map.Entry<RequestKey, SuspectRecord>> entries = records.entrySet().iterator();
+    Map.Entry<RequestKey, SuspectRecord> oldest = entries.next();
     while (entries.hasNext()) {
-      Map.Entry<RequestKey, RequestCase> next = entries.next();
+      Map.Entry<RequestKey, SuspectRecord> next = entries.next();
       if (next.getValue().lastSeenNanos() < oldest.getValue().lastSeenNanos()) {
         oldest = next;
       }
@@ -214,7 +233,7 @@
   }
 
   private void onNews(
-      RequestKey key, RequestCase known, Standing before, String by, long nowNanos) {
+      RequestKey key, SuspectRecord known, Standing before, String by, long nowNanos) {
     Standing now = known.standing(nowNanos);
     if (now != before) {
       events.log(new RouterEvent.SuspectChanged(key.logName(), now.logName(), known.ends(), by));
@@ -227,13 +246,13 @@
   }
 
   private Optional<PeerBody.SuspectReport> report(RequestKey key) {
-    return Optional.ofNullable(cases.get(key)).map(known -> known.report(key, clock.nanoTime()));
+    return Optional.ofNullable(records.get(key)).map(known -> known.report(key, clock.nanoTime()));
   }
 
   /** What a router that knows nothing must be told. */
   private ImmutableList<RequestKey> known() {
     long nowNanos = clock.nanoTime();
-    return cases.entrySet().stream()
+    return records.entrySet().stream()
         .filter(entry -> entry.getValue().standing(nowNanos) != Standing.FREE)
         .map(Map.Entry::getKey)
         .collect(ImmutableList.toImmutableList());
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/CrashGuardTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/CrashGuardTest.java
@@ -10,7 +10,7 @@
 
 /** What becomes of a request under which servers end, at one router. */
 public final class CrashGuardTest {
-  private static final Duration PAST_TRIAL_TIME = Duration.ofSeconds(3);
+  private static final Duration PAST_CANARY_TIME = Duration.ofSeconds(3);
   private static final Duration PAST_HOLD = Duration.ofMinutes(11);
 
   private ForwardFixture router;
@@ -64,7 +64,7 @@
     router.fail(router.last(), ServerFailure.BROKEN);
     assertThat(router.error(1).kind()).isEqualTo(ErrorKind.ENDS_SERVERS);
     router.submit();
-    router.advance(PAST_TRIAL_TIME);
+    router.advance(PAST_CANARY_TIME);
     router.submit();
 
     assertThat(router.sent).hasSize(1);
@@ -87,7 +87,7 @@
   }
 
   @Test
-  public void aTrialIsNoSecondAttemptOfAPartAndIsNotHedged() {
+  public void aCanaryIsNoSecondAttemptOfAPartAndIsNotHedged() {
     suspect();
     router.submit();
     router.advanceInSteps(ForwardFixture.OBJECTIVE);
@@ -98,16 +98,16 @@
   @Test
   public void aRouterThatIsAloneTriesAlsoLater() {
     suspect();
-    router.advance(PAST_TRIAL_TIME);
+    router.advance(PAST_CANARY_TIME);
     router.submit();
 
     assertThat(router.sent).hasSize(1);
   }
 
   @Test
-  public void trialsWithoutAVerdictAreFew() {
+  public void canariesWithoutAResultAreFew() {
     suspect();
-    for (int trial = 0; trial < 5; trial++) {
+    for (int canary = 0; canary < 5; canary++) {
       router.submit();
       router.advanceInSteps(ForwardFixture.OBJECTIVE.multipliedBy(4));
     }
@@ -176,6 +176,17 @@
     assertThat(router.coordinator.suspects().isEmpty()).isTrue();
   }
 
+  @Test
+  public void firstEndsAreForgottenSoThatNoRequestNeedsItsKey() {
+    router.submit();
+    router.fail(router.last(), ServerFailure.BROKEN);
+    assertThat(router.coordinator.suspects().isEmpty()).isFalse();
+    router.advance(Duration.ofSeconds(20));
+    router.advance(Duration.ofSeconds(20));
+
+    assertThat(router.coordinator.suspects().isEmpty()).isTrue();
+  }
+
   @Test
   public void aRequestThatMayNotRunTwiceIsTriedByItsOnlyRun() {
     router = new ForwardFixture();
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/CrashingRequestProperties.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/CrashingRequestProperties.java
@@ -17,7 +17,7 @@
   private static final int STEPS = 60;
   private static final String SOUND = "/sound";
 
-  /** Trials that routers start before they have heard of each other's. */
+  /** Canaries that routers start before they have heard of each other's. */
   private static final int MOST_LATE_COMINGS = 3;
 
   @Property(tries = 40, seed = "36")
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/StreamingPeerCodec.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/StreamingPeerCodec.java
@@ -209,7 +209,7 @@
   private static void writeReport(JsonGenerator json, PeerBody.SuspectReport report)
       throws IOException {
     json.writeStringField("request", report.request());
-    json.writeStringField("verdict", report.verdict());
+    json.writeStringField("kind", report.kind());
     json.writeNumberField("ageMillis", report.ageMillis());
     json.writeArrayFieldStart("servers");
     for (String server : report.servers()) {
@@ -221,7 +221,7 @@
   private static PeerBody.SuspectReport readReport(JsonFields report) {
     return new PeerBody.SuspectReport(
         report.text("request"),
-        report.text("verdict"),
+        report.text("kind"),
         report.texts("servers"),
         report.whole("ageMillis"));
   }
--- a/arrowarch-node/src/test/java/io/arrowarch/node/forward/StreamingPeerCodecTest.java
+++ b/arrowarch-node/src/test/java/io/arrowarch/node/forward/StreamingPeerCodecTest.java
@@ -39,7 +39,7 @@
       new PeerBody.TenantVerdict(9, false, 170, 20, List.of(new PeerBody.Limited("t", 2_000))),
       new PeerBody.TenantNotice(List.of(new PeerBody.Limited("t", 2_000)), true),
       new PeerBody.SuspectNotice(
-          List.of(new PeerBody.SuspectReport("00ff", "accused", List.of("i-1", "i-2"), 40))),
+          List.of(new PeerBody.SuspectReport("00ff", "ends", List.of("i-1", "i-2"), 40))),
       new PeerBody.SuspectQuestion()
     };
   }
