--- a/arrowarch-core/src/main/java/io/arrowarch/core/event/RouterEvent.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/event/RouterEvent.java
@@ -359,7 +359,7 @@
    * What is believed of a request that servers have ended under.
    *
    * @param requestKey first digits of the hash by which it is known again
-   * @param state free, suspected, held back
+   * @param state free, suspected, quarantined
    * @param ends servers that have ended under it, as far as they are counted
    * @param by the router whose knowledge it was
    */
