Logs: the store's era, a 410 and versions that are left out are told

Ruled out: nothing yet. Change: three store and configuration lines ('history gone', 'era', 'left out'); no decision differs.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/FeedContents.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/FeedContents.java
@@ -59,6 +59,9 @@
     newestRevision = Math.max(newestRevision, item.revision());
     FeedItem known = items.get(item.key());
     if (known != null && known.revision() >= item.revision()) {
+      if (!known.equals(item)) {
+        listener.onLeftOut(item, known.revision());
+      }
       return;
     }
     if (item.entry().isPresent()) {
--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/FeedListener.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/FeedListener.java
@@ -17,6 +17,15 @@
   /** The store gave no answer, after it had. */
   void onLost(FeedFailure failure);
 
+  /** The store can't tell what has changed since the revision that this router knows. */
+  void onHistoryGone(long revision);
+
+  /** The store says for the first time that it is in this era. */
+  void onEra(long era);
+
+  /** An entry was read and not told: a later revision of its key is known. */
+  void onLeftOut(FeedItem item, long knownRevision);
+
   /** Other routers have seen a later revision for some time: the store is asked anew. */
   void onBehind(long revision);
 
--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/StoreFollower.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/StoreFollower.java
@@ -61,6 +61,7 @@
   private int failures;
   private boolean everAnswered;
   private long startNanos;
+  private long era;
 
   /**
    * Creates a follower that has read nothing.
@@ -200,6 +201,14 @@
     }
   }
 
+  /** Takes which era an answer of the store says it is from. */
+  public void onEra(long stated) {
+    if (stated != era) {
+      era = stated;
+      listener.onEra(stated);
+    }
+  }
+
   /** Takes an answer of the store; ignored when the call is not the current one. */
   public void onAnswer(long call, FeedAnswer answer) {
     if (call != currentCall) {
@@ -256,6 +265,7 @@
     }
     failedSinceWatch = true;
     if (failure == FeedFailure.HISTORY_GONE) {
+      listener.onHistoryGone(view.position());
       list(Optional.empty());
       return;
     }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardingRouter.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardingRouter.java
@@ -5,6 +5,7 @@
 import io.arrowarch.core.event.RouterEvent;
 import io.arrowarch.core.feed.FeedEntry;
 import io.arrowarch.core.feed.FeedFailure;
+import io.arrowarch.core.feed.FeedItem;
 import io.arrowarch.core.feed.FeedListener;
 import io.arrowarch.core.feed.FeedTransport;
 import io.arrowarch.core.feed.StoreFollower;
@@ -216,6 +217,29 @@
     logStore("lost", failure.name(), 0);
   }
 
+  @Override
+  public void onHistoryGone(long revision) {
+    logStore("history gone", "the store cannot go on from this revision", revision);
+  }
+
+  @Override
+  public void onEra(long era) {
+    logStore("era", "the store says that it is in era " + era, 0);
+  }
+
+  @Override
+  public void onLeftOut(FeedItem item, long knownRevision) {
+    if (item.entry().orElse(new FeedEntry.Unknown()) instanceof FeedEntry.Configuration left) {
+      events.log(
+          new RouterEvent.ConfigurationChanged(
+              left.configuration().version(),
+              item.revision(),
+              "left out",
+              "revision " + knownRevision + " of the key is known",
+              left.configuration().routes().size()));
+    }
+  }
+
   @Override
   public void onBehind(long revision) {
     logStore("behind", "other routers have seen this revision", revision);
--- a/arrowarch-core/src/test/java/io/arrowarch/core/feed/RecordingFeedListener.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/feed/RecordingFeedListener.java
@@ -30,6 +30,15 @@
     lines.add("lost");
   }
 
+  @Override
+  public void onHistoryGone(long revision) {}
+
+  @Override
+  public void onEra(long era) {}
+
+  @Override
+  public void onLeftOut(FeedItem item, long knownRevision) {}
+
   @Override
   public void onBehind(long revision) {
     lines.add("behind@" + revision);
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/FollowerFleet.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/FollowerFleet.java
@@ -331,6 +331,15 @@
     @Override
     public void onLost(FeedFailure failure) {}
 
+    @Override
+    public void onHistoryGone(long revision) {}
+
+    @Override
+    public void onEra(long era) {}
+
+    @Override
+    public void onLeftOut(FeedItem item, long knownRevision) {}
+
     @Override
     public void onBehind(long revision) {}
 
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/FeedCodec.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/FeedCodec.java
@@ -20,6 +20,9 @@
   /** What has changed, as the store answers a watch, for routers that follow this one. */
   byte[] encodeChanges(FeedAnswer changes);
 
+  /** Name of the header in which each answer of the store states its era, a whole number. */
+  String eraHeader();
+
   /** Reads an answer to either, or the listing of another router. */
   Either<FeedFailure, FeedAnswer> decode(int status, byte[] body);
 }
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/StoreClient.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/StoreClient.java
@@ -1,5 +1,6 @@
 package io.arrowarch.node.forward;
 
+import com.google.common.primitives.Longs;
 import io.arrowarch.core.feed.FeedAnswer;
 import io.arrowarch.core.feed.FeedFailure;
 import io.arrowarch.core.feed.FeedTransport;
@@ -161,6 +162,9 @@
   }
 
   private void onStoreAnswer(long call, FeedAnswer answer, HttpClientResponse response) {
+    Optional.ofNullable(response.getHeader(codec.eraHeader()))
+        .flatMap(text -> Optional.ofNullable(Longs.tryParse(text)))
+        .ifPresent(era -> follower.get().onEra(era));
     follower.get().onAnswer(call, answer);
   }
 
