--- a/arrowarch-core/src/main/java/io/arrowarch/core/event/RouterEvent.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/event/RouterEvent.java
@@ -1,6 +1,7 @@
 package io.arrowarch.core.event;
 
 import com.google.common.collect.ImmutableList;
+import io.arrowarch.core.feed.StoreRevision;
 import java.util.List;
 
 /**
@@ -240,7 +241,7 @@
    * @param count how many
    * @param servers the first of them, each as its id and its service
    */
-  record ServersChanged(String status, long revision, int count, List<String> servers)
+  record ServersChanged(String status, StoreRevision revision, int count, List<String> servers)
       implements RouterEvent {
     /** Copies the list. */
     public ServersChanged {
@@ -256,7 +257,8 @@
     public void writeTo(EventFields fields) {
       fields
           .text("status", status)
-          .whole("revision", revision)
+          .whole("era", revision.era())
+          .whole("revision", revision.number())
           .whole("count", count)
           .texts("servers", servers);
     }
@@ -267,7 +269,7 @@
    *
    * @param state evacuated or returned
    */
-  record ZoneChanged(String zone, String state, long revision) implements RouterEvent {
+  record ZoneChanged(String zone, String state, StoreRevision revision) implements RouterEvent {
     @Override
     public String eventName() {
       return "zone";
@@ -275,13 +277,17 @@
 
     @Override
     public void writeTo(EventFields fields) {
-      fields.text("zone", zone).text("state", state).whole("revision", revision);
+      fields
+          .text("zone", zone)
+          .text("state", state)
+          .whole("era", revision.era())
+          .whole("revision", revision.number());
     }
   }
 
   /** A configuration was taken or refused. */
   record ConfigurationChanged(
-      long version, long revision, String outcome, String reason, int routes)
+      long version, StoreRevision revision, String outcome, String reason, int routes)
       implements RouterEvent {
     @Override
     public String eventName() {
@@ -292,7 +298,8 @@
     public void writeTo(EventFields fields) {
       fields
           .whole("version", version)
-          .whole("revision", revision)
+          .whole("era", revision.era())
+          .whole("revision", revision.number())
           .text("outcome", outcome)
           .text("reason", reason)
           .whole("routes", routes);
@@ -300,7 +307,7 @@
   }
 
   /** The store was lost, regained or listed anew. */
-  record StoreChanged(String state, String reason, long revision, int servers)
+  record StoreChanged(String state, String reason, StoreRevision revision, int servers)
       implements RouterEvent {
     @Override
     public String eventName() {
@@ -312,7 +319,8 @@
       fields
           .text("state", state)
           .text("reason", reason)
-          .whole("revision", revision)
+          .whole("era", revision.era())
+          .whole("revision", revision.number())
           .whole("servers", servers);
     }
   }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/ChangeDates.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/ChangeDates.java
@@ -74,6 +74,12 @@
     afterListing(waited ? nowNanos : callStartNanos);
   }
 
+  /** What an older copy contradicted is about to be told: it may have changed long ago. */
+  void beforeSettling() {
+    changedSinceNanos = LONG_AGO_NANOS;
+    deletedSinceNanos = LONG_AGO_NANOS;
+  }
+
   /** Changes that another router tells: it may have heard of them some time after the store. */
   void beforeChangesOfPeer(long callStartNanos) {
     changedSinceNanos = completeUntilNanos.orElse(LONG_AGO_NANOS);
--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/FeedAnswer.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/FeedAnswer.java
@@ -8,4 +8,4 @@
  * @param revision the store's revision that the answer is from
  * @param hasMore whether a listing goes on after the last key; false for a watch
  */
-public record FeedAnswer(ImmutableList<FeedItem> items, long revision, boolean hasMore) {}
+public record FeedAnswer(ImmutableList<FeedItem> items, StoreRevision revision, boolean hasMore) {}
--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/FeedTransport.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/FeedTransport.java
@@ -13,7 +13,7 @@
   void list(long call, Optional<String> afterKey, Duration timeout);
 
   /** Asks for changes after a revision; answered when there is one or the wait is over. */
-  void watch(long call, long afterRevision, Duration longestWait, Duration timeout);
+  void watch(long call, StoreRevision after, Duration longestWait, Duration timeout);
 
   /**
    * Asks a router that watches the store for changes after a revision; answered by {@link
@@ -22,7 +22,7 @@
    * @param address IP:PORT for peers
    */
   void watchPeer(
-      long call, String address, long afterRevision, Duration longestWait, Duration timeout);
+      long call, String address, StoreRevision after, Duration longestWait, Duration timeout);
 
   /**
    * Asks another router for all that it holds; answered by {@link StoreFollower#onPeerListing}, or
--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/ListingProgress.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/ListingProgress.java
@@ -10,7 +10,7 @@
  */
 final class ListingProgress {
   private final Set<String> keys = new HashSet<>();
-  private Optional<Long> firstRevision = Optional.empty();
+  private Optional<StoreRevision> firstRevision = Optional.empty();
   private boolean active;
   private long startNanos;
 
@@ -32,6 +32,11 @@
     startNanos = nowNanos;
   }
 
+  /** Whether a page is of another era than those before it. */
+  boolean isOfAnotherEra(FeedAnswer page) {
+    return firstRevision.filter(first -> !first.isOfEraOf(page.revision())).isPresent();
+  }
+
   /** Nobody wants the rest. */
   void abandon() {
     active = false;
@@ -56,7 +61,7 @@
   }
 
   /** Of the first page. */
-  long revision() {
+  StoreRevision revision() {
     return firstRevision.orElseThrow();
   }
 }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/StoreFollower.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/StoreFollower.java
@@ -1,5 +1,6 @@
 package io.arrowarch.core.feed;
 
+import io.arrowarch.core.peer.StoreNews;
 import io.arrowarch.core.time.RouterClock;
 import io.arrowarch.core.time.TimerQueue;
 import java.time.Duration;
@@ -60,8 +61,8 @@
   private boolean failedSinceWatch;
   private int failures;
   private boolean everAnswered;
+  private boolean checkingVersion;
   private long startNanos;
-  private long era;
 
   /**
    * Creates a follower that has read nothing.
@@ -115,9 +116,26 @@
     return view;
   }
 
-  /** Whether others may follow this router: the store answers it, and it follows nobody else. */
-  public boolean mayBeFollowed() {
-    return view.isComplete() && failures == 0 && followed.isEmpty();
+  /**
+   * Whether others may follow this router from a revision: the store answers it, it follows nobody
+   * else, and it has not missed an era that they know.
+   */
+  public boolean mayBeFollowed(StoreRevision from) {
+    return view.isComplete()
+        && failures == 0
+        && followed.isEmpty()
+        && from.era() <= view.position().era();
+  }
+
+  /**
+   * Hears from another router what it knows of the store.
+   *
+   * @param address of the other router, IP:PORT for peers
+   * @param near whether a listing from there crosses no zone
+   */
+  public void onPeerNews(StoreNews news, String address, boolean near) {
+    onPeerRevision(news.newest(), address, near);
+    onPeerVersion(news.configurationVersion(), address);
   }
 
   /**
@@ -126,7 +144,7 @@
    * @param address of the other router, IP:PORT for peers
    * @param near whether a listing from there crosses no zone
    */
-  public void onPeerRevision(long revision, String address, boolean near) {
+  public void onPeerRevision(StoreRevision revision, String address, boolean near) {
     if (!view.isBehind(revision)) {
       return;
     }
@@ -142,19 +160,46 @@
     }
   }
 
-  private void checkBehind(long call, long revision) {
+  private void checkBehind(long call, StoreRevision revision) {
     checkingBehind = false;
     if (watching && call == currentCall && view.isBehind(revision)) {
       listener.onBehind(revision);
       if (followed.isPresent()) {
         source.onFailed(followed.get());
+        watch();
+        return;
+      }
+      failedSinceWatch = true;
+      if (revision.isOfEraOf(view.position())) {
+        watch();
       } else {
-        failedSinceWatch = true;
+        // A watch from a number that the new era has not reached may wait for long.
+        list(Optional.empty());
       }
-      watch();
     }
   }
 
+  /**
+   * Hears which version of the configuration another router holds. A copy of the store that was
+   * listed here may lack it.
+   *
+   * @param address of the other router, IP:PORT for peers
+   */
+  private void onPeerVersion(long version, String address) {
+    if (checkingVersion || !view.isComplete() || version <= view.configurationVersion()) {
+      return;
+    }
+    checkingVersion = true;
+    schedule(
+        BEHIND_SLACK.toNanos(),
+        () -> {
+          checkingVersion = false;
+          if (version > view.configurationVersion()) {
+            askPeer(address);
+          }
+        });
+  }
+
   private void askPeer(String address) {
     if (!peerListings.madeLately()) {
       listFromPeer(address);
@@ -173,7 +218,9 @@
    */
   public void onPeerListing(FeedAnswer answer, Optional<Duration> age) {
     Optional<Long> askedNanos = peerListings.onEnded();
+    StoreRevision before = view.position();
     if (view.onPeerListing(answer, askedNanos, age)) {
+      afterListing(before);
       listing.abandon();
       listener.onListedByPeer(answer.revision());
       if (calling) {
@@ -201,23 +248,21 @@
     }
   }
 
-  /** Takes which era an answer of the store says it is from. */
-  public void onEra(long stated) {
-    if (stated != era) {
-      era = stated;
-      listener.onEra(stated);
-    }
-  }
-
   /** Takes an answer of the store; ignored when the call is not the current one. */
   public void onAnswer(long call, FeedAnswer answer) {
     if (call != currentCall) {
       return;
     }
+    if (answer.revision().era() < view.position().era()) {
+      onFailure(call, FeedFailure.NO_ANSWER);
+      return;
+    }
     onAnswered();
     if (listing.isActive()) {
-      view.onPage(answer);
       onPage(answer);
+    } else if (!view.isOfItsEra(answer)) {
+      // Numbers are given out again: what the answer tells may not be all that is new.
+      list(Optional.empty());
     } else {
       view.onChanges(answer, callStartNanos, callWait);
       onChanges(answer);
@@ -234,6 +279,10 @@
     if (call != currentCall || followed.isEmpty()) {
       return;
     }
+    if (!view.isOfItsEra(answer)) {
+      onFailure(call, FeedFailure.NO_ANSWER);
+      return;
+    }
     onAnswered();
     view.onPeerChanges(answer, callStartNanos, age);
     if (times.isOld(view.age())) {
@@ -298,16 +347,32 @@
   }
 
   private void onPage(FeedAnswer answer) {
+    if (listing.isOfAnotherEra(answer)) {
+      list(Optional.empty());
+      return;
+    }
+    view.onPage(answer);
     Optional<String> lastKey = listing.onPage(answer);
     if (lastKey.isPresent()) {
       list(lastKey);
       return;
     }
+    StoreRevision before = view.position();
     view.onListed(listing);
+    afterListing(before);
     listener.onListed(listing.revision());
     watch();
   }
 
+  private void afterListing(StoreRevision before) {
+    boolean wasComplete = !before.equals(StoreRevision.NONE);
+    if (wasComplete && !before.isOfEraOf(view.position())) {
+      listener.onNewEra(before, view.position());
+      schedule(ContradictedKeys.KEEP_MISSING.toNanos(), view::settle);
+      schedule(ContradictedKeys.DISTRUST_RETURNED.toNanos(), view::settle);
+    }
+  }
+
   private void onChanges(FeedAnswer answer) {
     failedSinceWatch = false;
     if (answer.items().isEmpty() || followed.isPresent()) {
@@ -332,7 +397,7 @@
     calling = true;
     watching = true;
     callStartNanos = clock.nanoTime();
-    long after = view.position();
+    StoreRevision after = view.position();
     followed = source.isLookout() ? Optional.empty() : source.lookoutToFollow();
     if (followed.isPresent()) {
       Duration wait = times.peerWait();
--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/StoreView.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/StoreView.java
@@ -1,5 +1,6 @@
 package io.arrowarch.core.feed;
 
+import io.arrowarch.core.peer.StoreNews;
 import io.arrowarch.core.time.RouterClock;
 import java.time.Duration;
 import java.util.HashSet;
@@ -15,7 +16,7 @@
   private final FeedContents contents;
   private final ChangeDates dates;
   private final ViewFreshness freshness;
-  private Optional<Long> position = Optional.empty();
+  private Optional<StoreRevision> position = Optional.empty();
 
   /**
    * Creates a view of nothing.
@@ -24,7 +25,7 @@
    */
   StoreView(RouterClock clock, FeedListener listener, Duration peerDelay) {
     this.listener = listener;
-    this.contents = new FeedContents(listener);
+    this.contents = new FeedContents(listener, new ContradictedKeys(clock));
     this.dates = new ChangeDates(clock, peerDelay);
     this.freshness = new ViewFreshness(clock);
   }
@@ -34,16 +35,37 @@
     return position.isPresent();
   }
 
-  /** Up to which revision every change is known, deletions included; 0 before the first listing. */
-  public long position() {
-    return position.orElse(0L);
+  /**
+   * Up to which revision every change is known, deletions included; {@link StoreRevision#NONE}
+   * before the first listing.
+   */
+  public StoreRevision position() {
+    return position.orElse(StoreRevision.NONE);
   }
 
-  /** The newest revision of a key that this router has seen; 0 before the first. */
-  public long newestRevision() {
+  /** The newest revision of a key that this router has seen. */
+  public StoreRevision newestRevision() {
     return contents.newestRevision();
   }
 
+  /** The version of the configuration that this router holds; 0 without one. */
+  public long configurationVersion() {
+    return contents.configurationVersion();
+  }
+
+  /** Rises whenever something that is held changes. */
+  public long changes() {
+    return contents.changes();
+  }
+
+  /**
+   * Whether pages of a later era have been taken and not all of them, so that others can't be told
+   * what the store holds.
+   */
+  public boolean isBetweenEras() {
+    return position.filter(held -> !held.isOfEraOf(contents.newestRevision())).isPresent();
+  }
+
   /**
    * How old the view may be: what was written longer ago is known here. Empty before the first
    * listing.
@@ -52,6 +74,17 @@
     return freshness.age();
   }
 
+  /** What other routers are told of this view. */
+  public StoreNews news() {
+    long ageMillis = age().map(StoreView::wholeMillis).orElse(StoreNews.NEVER);
+    return new StoreNews(newestRevision(), position(), ageMillis, configurationVersion());
+  }
+
+  /** Rounded up: a view must not look younger than it is. */
+  private static long wholeMillis(Duration age) {
+    return Math.max(0, age.toMillis() + 1);
+  }
+
   /**
    * How old the view may have been at a moment; negative when it is known to be complete as of
    * later. Empty before the first listing.
@@ -70,38 +103,50 @@
     return dates.deletedSinceNanos();
   }
 
-  /** All that this router holds, for another one; empty before the first listing. */
+  /** All that this router holds, for another one; empty before a listing is complete. */
   public Optional<FeedAnswer> snapshot() {
-    return position.map(revision -> new FeedAnswer(contents.all(), revision, false));
+    return position
+        .filter(held -> !isBetweenEras())
+        .map(revision -> new FeedAnswer(contents.all(), revision, false));
   }
 
   /**
    * The changes after a revision, for a router that follows this one; empty when they are not all
    * known any more.
    */
-  public Optional<FeedAnswer> changesAfter(long revision) {
+  public Optional<FeedAnswer> changesAfter(StoreRevision revision) {
     return contents
         .after(revision)
-        .map(later -> new FeedAnswer(later, Math.max(revision, position()), false));
+        .map(later -> new FeedAnswer(later, position().latest(revision), false));
   }
 
   /**
    * Hears that another router's view was complete at a moment, with every change up to a position
    * and none after it. The newest key that the other holds would not do: it need not have seen the
-   * key whose deletion came last.
+   * key whose deletion came last. Nor does a position of another era: what this router has read may
+   * be from a copy that lacks what the other knows.
    *
    * @param askedNanos when the other was asked
    * @param age of its view then
    */
-  public void onConfirmedByPeer(long othersPosition, long askedNanos, Duration age) {
-    if (position.isPresent() && position.get() >= othersPosition) {
+  public void onConfirmedByPeer(StoreRevision othersPosition, long askedNanos, Duration age) {
+    boolean knowsAll =
+        position.isPresent()
+            && position.get().isOfEraOf(othersPosition)
+            && !othersPosition.isAfter(position.get());
+    if (knowsAll) {
       freshness.confirm(askedNanos, age);
     }
   }
 
   /** Whether the store has a change of this revision that is not known here. */
-  boolean isBehind(long revision) {
-    return revision > Math.max(contents.newestRevision(), position());
+  boolean isBehind(StoreRevision revision) {
+    return revision.isAfter(contents.newestRevision().latest(position()));
+  }
+
+  /** Whether an answer is of the era that this router has listed. */
+  boolean isOfItsEra(FeedAnswer answer) {
+    return position().isOfEraOf(answer.revision());
   }
 
   /** Notes that another router is ahead while the store fails this one; returns for how long. */
@@ -112,14 +157,14 @@
   /** Takes a page of a listing that is not complete. */
   void onPage(FeedAnswer page) {
     dates.beforeListing();
-    take(page);
+    takeListed(page);
   }
 
   /** All pages have been taken. */
   void onListed(ListingProgress listing) {
     contents.retain(listing.keys(), listing.revision());
     listener.onAnswerTold();
-    position = Optional.of(Math.max(listing.revision(), position()));
+    position = Optional.of(listing.revision().latest(position()));
     dates.afterListing(listing.startNanos());
     freshness.confirm(listing.startNanos(), Duration.ZERO);
   }
@@ -151,11 +196,12 @@
    * @param age of the other's view then; empty when it does not know
    */
   boolean onPeerListing(FeedAnswer listing, Optional<Long> askedNanos, Optional<Duration> age) {
-    if (listing.revision() <= position()) {
+    if (!listing.revision().isAfter(position())) {
+      takeNewerConfiguration(listing);
       return false;
     }
     dates.beforeListing();
-    take(listing);
+    takeListed(listing);
     Set<String> keys = new HashSet<>();
     listing.items().forEach(item -> keys.add(item.key()));
     contents.retain(keys, listing.revision());
@@ -172,7 +218,33 @@
     listener.onAnswerTold();
   }
 
-  private void moveTo(long revision) {
-    position = Optional.of(Math.max(position(), revision));
+  private void takeListed(FeedAnswer page) {
+    page.items().forEach(contents::applyListed);
+    listener.onAnswerTold();
+  }
+
+  /** A copy that this router has listed may lack the version that another one remembers. */
+  private void takeNewerConfiguration(FeedAnswer listing) {
+    for (FeedItem item : listing.items()) {
+      boolean newer =
+          item.configuration()
+              .filter(read -> read.version() > contents.configurationVersion())
+              .isPresent();
+      if (newer) {
+        contents.apply(item.at(position()));
+      }
+    }
+  }
+
+  /** Tells what an older copy contradicted and nobody has written again for long enough. */
+  void settle() {
+    dates.beforeSettling();
+    if (contents.settle(position())) {
+      listener.onAnswerTold();
+    }
+  }
+
+  private void moveTo(StoreRevision revision) {
+    position = Optional.of(position().latest(revision));
   }
 }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardingRouter.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardingRouter.java
@@ -5,10 +5,10 @@
 import io.arrowarch.core.event.RouterEvent;
 import io.arrowarch.core.feed.FeedEntry;
 import io.arrowarch.core.feed.FeedFailure;
-import io.arrowarch.core.feed.FeedItem;
 import io.arrowarch.core.feed.FeedListener;
 import io.arrowarch.core.feed.FeedTransport;
 import io.arrowarch.core.feed.StoreFollower;
+import io.arrowarch.core.feed.StoreRevision;
 import io.arrowarch.core.route.RoutingConfiguration;
 import io.arrowarch.core.route.ServiceSettings;
 import io.arrowarch.core.server.ServerDirectory;
@@ -174,7 +174,7 @@
   }
 
   @Override
-  public void onWritten(String key, FeedEntry entry, long revision) {
+  public void onWritten(String key, FeedEntry entry, StoreRevision revision) {
     if (entry instanceof FeedEntry.Configuration written) {
       onConfiguration(written.configuration(), revision);
     } else if (entry instanceof FeedEntry.Server written) {
@@ -188,7 +188,7 @@
   }
 
   @Override
-  public void onDeleted(String key, long revision) {
+  public void onDeleted(String key, StoreRevision revision) {
     ServerEntry entry = entriesByKey.remove(key);
     if (entry != null
         && directory.onGone(entry.id(), follower.view().deletedSinceNanos(), clock.nanoTime())) {
@@ -206,7 +206,7 @@
   }
 
   @Override
-  public void onListed(long revision) {
+  public void onListed(StoreRevision revision) {
     coordinator.onListed();
     logStore("listed", "", revision);
   }
@@ -214,54 +214,42 @@
   @Override
   public void onLost(FeedFailure failure) {
     coordinator.onStoreLost();
-    logStore("lost", failure.name(), 0);
+    logStore("lost", failure.name(), StoreRevision.NONE);
   }
 
   @Override
-  public void onHistoryGone(long revision) {
+  public void onHistoryGone(StoreRevision revision) {
     logStore("history gone", "the store cannot go on from this revision", revision);
   }
 
   @Override
-  public void onEra(long era) {
-    logStore("era", "the store says that it is in era " + era, 0);
+  public void onNewEra(StoreRevision from, StoreRevision to) {
+    String known = "era %d, revision %d was known".formatted(from.era(), from.number());
+    logStore("older", known, to);
   }
 
   @Override
-  public void onLeftOut(FeedItem item, long knownRevision) {
-    if (item.entry().orElse(new FeedEntry.Unknown()) instanceof FeedEntry.Configuration left) {
-      events.log(
-          new RouterEvent.ConfigurationChanged(
-              left.configuration().version(),
-              item.revision(),
-              "left out",
-              "revision " + knownRevision + " of the key is known",
-              left.configuration().routes().size()));
-    }
-  }
-
-  @Override
-  public void onBehind(long revision) {
+  public void onBehind(StoreRevision revision) {
     logStore("behind", "other routers have seen this revision", revision);
   }
 
   @Override
-  public void onListedByPeer(long revision) {
+  public void onListedByPeer(StoreRevision revision) {
     coordinator.onListed();
     logStore("listed", "by another router", revision);
   }
 
   @Override
   public void onPeerListingFailed() {
-    logStore("lost", "another router gave no listing", 0);
+    logStore("lost", "another router gave no listing", StoreRevision.NONE);
   }
 
   @Override
   public void onRegained() {
-    logStore("regained", "", 0);
+    logStore("regained", "", StoreRevision.NONE);
   }
 
-  private void onConfiguration(RoutingConfiguration written, long revision) {
+  private void onConfiguration(RoutingConfiguration written, StoreRevision revision) {
     long inForce = coordinator.configuration().map(RoutingConfiguration::version).orElse(0L);
     boolean taken = written.version() > inForce;
     if (taken) {
@@ -284,14 +272,14 @@
         .orElse(Duration.ZERO);
   }
 
-  private void onEvacuation(String key, String zone, long revision) {
+  private void onEvacuation(String key, String zone, StoreRevision revision) {
     evacuatedZonesByKey.put(key, zone);
     if (directory.onEvacuated(zone)) {
       events.log(new RouterEvent.ZoneChanged(zone, "evacuated", revision));
     }
   }
 
-  private void onServer(String key, ServerEntry entry, long revision) {
+  private void onServer(String key, ServerEntry entry, StoreRevision revision) {
     entriesByKey.put(key, entry);
     boolean changed =
         directory.onEntry(entry, follower.view().changedSinceNanos(), clock.nanoTime());
@@ -301,7 +289,7 @@
     }
   }
 
-  private void logStore(String state, String reason, long revision) {
+  private void logStore(String state, String reason, StoreRevision revision) {
     long known = directory.all().stream().map(ServerState::status).count();
     events.log(new RouterEvent.StoreChanged(state, reason, revision, (int) known));
   }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/RouterPeers.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/RouterPeers.java
@@ -4,6 +4,7 @@
 import io.arrowarch.core.config.ConfigurationId;
 import io.arrowarch.core.event.EventLog;
 import io.arrowarch.core.event.RouterEvent;
+import io.arrowarch.core.feed.StoreRevision;
 import io.arrowarch.core.membership.Membership;
 import io.arrowarch.core.peer.DrainMark;
 import io.arrowarch.core.peer.MemberRecord;
@@ -11,6 +12,7 @@
 import io.arrowarch.core.peer.PeerBody;
 import io.arrowarch.core.peer.PeerMessage;
 import io.arrowarch.core.peer.PeerTransport;
+import io.arrowarch.core.peer.StoreNews;
 import io.arrowarch.core.time.RouterClock;
 import io.arrowarch.core.time.TimerQueue;
 import java.time.Duration;
@@ -35,14 +37,8 @@
 
   /** The revisions of the store that this router and others have seen. */
   public interface StoreRevisions {
-    /** The newest that this router has seen. */
-    long newestSeen();
-
-    /** Up to which revision this router knows every change, deletions included; 0 when never. */
-    long position();
-
-    /** How old this router's view may be; empty when it was never complete. */
-    Optional<Duration> viewAge();
+    /** What this router knows. */
+    StoreNews news();
 
     /**
      * Takes that another router's view was complete, with every change up to a position and none
@@ -51,15 +47,15 @@
      * @param askedNanos when it was asked, on this router's clock
      * @param age of its view then
      */
-    void onConfirmedByPeer(long position, long askedNanos, Duration age);
+    void onConfirmedByPeer(StoreRevision position, long askedNanos, Duration age);
 
     /**
-     * Takes the newest that another router has seen.
+     * Takes what another router knows.
      *
      * @param address of the other router
      * @param near whether it is of the same zone
      */
-    void onSeenByPeer(long revision, String address, boolean near);
+    void onSeenByPeer(StoreNews news, String address, boolean near);
   }
 
   private final RouterClock clock;
@@ -230,34 +226,22 @@
 
   /** The other's clock need not be known: its age counts back from when it was asked. */
   private void onDatedNews(PeerBody.News news, long askedNanos) {
-    if (news.storeAgeMillis() != PeerBody.News.NEVER) {
-      Duration age = Duration.ofMillis(news.storeAgeMillis());
-      revisions.onConfirmedByPeer(news.storePosition(), askedNanos, age);
+    if (news.store().ageMillis() != StoreNews.NEVER) {
+      Duration age = Duration.ofMillis(news.store().ageMillis());
+      revisions.onConfirmedByPeer(news.store().position(), askedNanos, age);
     }
   }
 
   private void onNews(MemberRecord sender, PeerBody.News news) {
     boolean near = sender.zone().equals(membership.self().zone());
-    revisions.onSeenByPeer(news.storeRevision(), sender.address(), near);
+    revisions.onSeenByPeer(news.store(), sender.address(), near);
     for (DrainMark mark : news.drains()) {
       onDrain.accept(mark.backend());
     }
   }
 
-  /** Rounded up: a view must not look younger than it is. */
-  private static long wholeMillis(Duration age) {
-    return Math.max(0, age.toMillis() + 1);
-  }
-
   private PeerBody.News storeNews() {
     return new PeerBody.News(
-        ConfigurationId.NONE,
-        ConfigurationId.NONE,
-        revisions.newestSeen(),
-        revisions.position(),
-        revisions.viewAge().map(RouterPeers::wholeMillis).orElse(PeerBody.News.NEVER),
-        false,
-        List.of(),
-        List.of());
+        ConfigurationId.NONE, ConfigurationId.NONE, revisions.news(), false, List.of(), List.of());
   }
 }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ServerChangeLog.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ServerChangeLog.java
@@ -2,6 +2,7 @@
 
 import io.arrowarch.core.event.EventLog;
 import io.arrowarch.core.event.RouterEvent;
+import io.arrowarch.core.feed.StoreRevision;
 import io.arrowarch.core.server.ServerEntry;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -19,14 +20,14 @@
 
   private final EventLog events;
   private final Map<String, List<String>> serversByStatus = new LinkedHashMap<>();
-  private long revision;
+  private StoreRevision revision = StoreRevision.NONE;
 
   ServerChangeLog(EventLog events) {
     this.events = events;
   }
 
-  void add(ServerEntry entry, String status, long changeRevision) {
-    revision = Math.max(revision, changeRevision);
+  void add(ServerEntry entry, String status, StoreRevision changeRevision) {
+    revision = revision.latest(changeRevision);
     serversByStatus
         .computeIfAbsent(status, unused -> new ArrayList<>())
         .add(entry.id() + ' ' + entry.service());
--- a/arrowarch-core/src/main/java/io/arrowarch/core/membership/Membership.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/membership/Membership.java
@@ -339,9 +339,7 @@
     return new PeerBody.News(
         configuration.inForce(),
         configuration.accepted(),
-        configuration.storeRevision(),
-        configuration.storePosition(),
-        configuration.storeAgeMillis(),
+        configuration.store(),
         bulk,
         members,
         drainRumours.take(DRAINS_PER_MESSAGE, size));
--- a/arrowarch-core/src/main/java/io/arrowarch/core/peer/PeerBody.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/peer/PeerBody.java
@@ -32,25 +32,17 @@
    *
    * @param inForce the configuration that the sender holds
    * @param accepted the newest configuration that the sender knows to be accepted
-   * @param storeRevision the newest revision of the platform's store that the sender has seen; 0
-   *     where it follows none
-   * @param storePosition up to which revision the sender knows every change, deletions included
-   * @param storeAgeMillis how old the sender's view of that store may be; {@link #NEVER} where it
-   *     has none
+   * @param store what the sender knows of the platform's store; {@link StoreNews#NONE} where it
+   *     follows none
    * @param bulk whether the members are a joiner's first list rather than news to pass on
    */
   record News(
       ConfigurationId inForce,
       ConfigurationId accepted,
-      long storeRevision,
-      long storePosition,
-      long storeAgeMillis,
+      StoreNews store,
       boolean bulk,
       List<MemberRecord> members,
       List<DrainMark> drains) {
-    /** The age of a view that was never complete. */
-    public static final long NEVER = -1;
-
     public News {
       members = ImmutableList.copyOf(members);
       drains = ImmutableList.copyOf(drains);
--- a/arrowarch-core/src/main/java/io/arrowarch/core/router/RouterCore.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/router/RouterCore.java
@@ -9,6 +9,7 @@
 import io.arrowarch.core.peer.MemberRecord;
 import io.arrowarch.core.peer.PeerBody;
 import io.arrowarch.core.peer.PeerMessage;
+import io.arrowarch.core.peer.StoreNews;
 import io.arrowarch.core.query.AttemptFailure;
 import io.arrowarch.core.query.NodeIdentity;
 import io.arrowarch.core.query.QueryAnswer;
@@ -264,14 +265,7 @@
   private PeerBody.News configurationNews() {
     ConfigurationStore store = agreement.store();
     return new PeerBody.News(
-        store.inForceId(),
-        store.accepted(),
-        0,
-        0,
-        PeerBody.News.NEVER,
-        false,
-        List.of(),
-        List.of());
+        store.inForceId(), store.accepted(), StoreNews.NONE, false, List.of(), List.of());
   }
 
   private void onNews(MemberRecord sender, PeerBody.News news) {
--- a/arrowarch-core/src/test/java/io/arrowarch/core/feed/ChangeDatesTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/feed/ChangeDatesTest.java
@@ -46,7 +46,8 @@
   }
 
   private void answer(long revision) {
-    follower.onAnswer(transport.call, new FeedAnswer(ImmutableList.of(), revision, false));
+    follower.onAnswer(
+        transport.call, new FeedAnswer(ImmutableList.of(), new StoreRevision(0, revision), false));
   }
 
   private Duration changeAge() {
@@ -80,8 +81,10 @@
     follower.onAnswer(
         transport.call,
         new FeedAnswer(
-            ImmutableList.of(new FeedItem("k", 101, Optional.of(new FeedEntry.Unknown()), "")),
-            101,
+            ImmutableList.of(
+                new FeedItem(
+                    "k", new StoreRevision(0, 101), Optional.of(new FeedEntry.Unknown()), "")),
+            new StoreRevision(0, 101),
             false));
     pass(Duration.ofMillis(1_250));
     pass(MOMENT);
@@ -97,9 +100,10 @@
     pass(MOMENT);
     follower.onFailure(transport.call, FeedFailure.UNAVAILABLE);
     pass(Duration.ofSeconds(2));
-    follower.onPeerRevision(105, PEER, true);
+    follower.onPeerRevision(new StoreRevision(0, 105), PEER, true);
     pass(Duration.ofMillis(300));
-    follower.onPeerListing(new FeedAnswer(ImmutableList.of(), 105, false), Optional.empty());
+    follower.onPeerListing(
+        new FeedAnswer(ImmutableList.of(), new StoreRevision(0, 105), false), Optional.empty());
     assertThat(changeAge()).isEqualTo(Duration.ofMillis(2_310));
     assertThat(deletionAge()).isEqualTo(Duration.ofMillis(300));
   }
@@ -121,10 +125,10 @@
   public void aRouterThatStaysBehindAsksOtherZonesToo() {
     answer(100);
     follower.onFailure(transport.call, FeedFailure.UNAVAILABLE);
-    follower.onPeerRevision(105, PEER, false);
+    follower.onPeerRevision(new StoreRevision(0, 105), PEER, false);
     assertThat(transport.calls).doesNotContain("list from " + PEER);
     pass(StoreFollower.PATIENCE_FOR_NEAR_PEERS);
-    follower.onPeerRevision(105, PEER, false);
+    follower.onPeerRevision(new StoreRevision(0, 105), PEER, false);
     assertThat(transport.calls).contains("list from " + PEER);
   }
 
--- a/arrowarch-core/src/test/java/io/arrowarch/core/feed/RecordingFeedListener.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/feed/RecordingFeedListener.java
@@ -7,22 +7,27 @@
 final class RecordingFeedListener implements FeedListener {
   final List<String> lines = new ArrayList<>();
 
+  /** The number, after its era where the store has come back older. */
+  static String text(StoreRevision revision) {
+    return (revision.era() == 0 ? "" : revision.era() + ".") + revision.number();
+  }
+
   @Override
-  public void onWritten(String key, FeedEntry entry, long revision) {
-    lines.add(key + "@" + revision);
+  public void onWritten(String key, FeedEntry entry, StoreRevision revision) {
+    lines.add(key + "@" + text(revision));
   }
 
   @Override
-  public void onDeleted(String key, long revision) {
-    lines.add("-" + key + "@" + revision);
+  public void onDeleted(String key, StoreRevision revision) {
+    lines.add("-" + key + "@" + text(revision));
   }
 
   @Override
   public void onAnswerTold() {}
 
   @Override
-  public void onListed(long revision) {
-    lines.add("listed@" + revision);
+  public void onListed(StoreRevision revision) {
+    lines.add("listed@" + text(revision));
   }
 
   @Override
@@ -31,22 +36,21 @@
   }
 
   @Override
-  public void onHistoryGone(long revision) {}
+  public void onHistoryGone(StoreRevision revision) {}
 
   @Override
-  public void onEra(long era) {}
-
-  @Override
-  public void onLeftOut(FeedItem item, long knownRevision) {}
+  public void onNewEra(StoreRevision from, StoreRevision to) {
+    lines.add("older " + text(from) + " to " + text(to));
+  }
 
   @Override
-  public void onBehind(long revision) {
-    lines.add("behind@" + revision);
+  public void onBehind(StoreRevision revision) {
+    lines.add("behind@" + text(revision));
   }
 
   @Override
-  public void onListedByPeer(long revision) {
-    lines.add("by peer@" + revision);
+  public void onListedByPeer(StoreRevision revision) {
+    lines.add("by peer@" + text(revision));
   }
 
   @Override
--- a/arrowarch-core/src/test/java/io/arrowarch/core/feed/RecordingFeedTransport.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/feed/RecordingFeedTransport.java
@@ -19,20 +19,20 @@
   }
 
   @Override
-  public void watch(long number, long afterRevision, Duration wait, Duration timeout) {
+  public void watch(long number, StoreRevision after, Duration wait, Duration timeout) {
     call = number;
     lastWait = wait;
     lastTimeout = timeout;
-    calls.add("watch after " + afterRevision);
+    calls.add("watch after " + RecordingFeedListener.text(after));
   }
 
   @Override
   public void watchPeer(
-      long number, String address, long afterRevision, Duration wait, Duration timeout) {
+      long number, String address, StoreRevision after, Duration wait, Duration timeout) {
     call = number;
     lastWait = wait;
     lastTimeout = timeout;
-    calls.add("watch " + address + " after " + afterRevision);
+    calls.add("watch " + address + " after " + RecordingFeedListener.text(after));
   }
 
   @Override
--- a/arrowarch-core/src/test/java/io/arrowarch/core/feed/StoreFollowerFixture.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/feed/StoreFollowerFixture.java
@@ -82,15 +82,20 @@
   }
 
   static FeedAnswer page(long revision, boolean hasMore, FeedItem... items) {
-    return new FeedAnswer(ImmutableList.copyOf(items), revision, hasMore);
+    return new FeedAnswer(ImmutableList.copyOf(items), revision(revision), hasMore);
+  }
+
+  /** In the era of a store that has never come back older. */
+  static StoreRevision revision(long number) {
+    return new StoreRevision(0, number);
   }
 
   static FeedItem written(String key, long revision) {
-    return new FeedItem(key, revision, Optional.of(new FeedEntry.Unknown()), "value");
+    return new FeedItem(key, revision(revision), Optional.of(new FeedEntry.Unknown()), "value");
   }
 
   static FeedItem deleted(String key, long revision) {
-    return new FeedItem(key, revision, Optional.empty(), "");
+    return new FeedItem(key, revision(revision), Optional.empty(), "");
   }
 
   /** A lookout or not, with the lookouts to follow in order. */
--- a/arrowarch-core/src/test/java/io/arrowarch/core/feed/StoreFollowerFreshnessTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/feed/StoreFollowerFreshnessTest.java
@@ -77,12 +77,12 @@
   public void whatAPeerConfirmsCountsOnlyOnceItsChangesAreKnown() {
     answer(100, false);
     pass(Duration.ofSeconds(2));
-    follower.view().onConfirmedByPeer(101, clock.nanoTime(), Duration.ZERO);
+    follower.view().onConfirmedByPeer(revision(101), clock.nanoTime(), Duration.ZERO);
     assertThat(follower.view().age()).contains(Duration.ofSeconds(2));
 
-    follower.view().onConfirmedByPeer(100, clock.nanoTime(), Duration.ofMillis(300));
+    follower.view().onConfirmedByPeer(revision(100), clock.nanoTime(), Duration.ofMillis(300));
     assertThat(follower.view().age()).contains(Duration.ofMillis(300));
-    follower.view().onConfirmedByPeer(90, clock.nanoTime(), Duration.ofSeconds(1));
+    follower.view().onConfirmedByPeer(revision(90), clock.nanoTime(), Duration.ofSeconds(1));
     assertThat(follower.view().age()).contains(Duration.ofMillis(300));
   }
 
@@ -90,8 +90,8 @@
   public void othersAreToldUpToWhichRevisionAllIsKnownAlsoWhatWasDeletedUnseen() {
     answer(100, false, written("a", 10));
 
-    assertThat(follower.view().newestRevision()).isEqualTo(10);
-    assertThat(follower.view().position()).isEqualTo(100);
+    assertThat(follower.view().newestRevision()).isEqualTo(revision(10));
+    assertThat(follower.view().position()).isEqualTo(revision(100));
   }
 
   @Test
--- a/arrowarch-core/src/test/java/io/arrowarch/core/feed/StoreFollowerTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/feed/StoreFollowerTest.java
@@ -145,7 +145,7 @@
     lookouts.add(PEER);
     answer(100, false, written("a", 10));
     assertThat(transport.last()).isEqualTo("watch " + PEER + " after 100");
-    assertThat(follower.mayBeFollowed()).isFalse();
+    assertThat(follower.mayBeFollowed(revision(100))).isFalse();
     peerAnswers(Optional.of(Duration.ZERO), 105, written("b", 105), deleted("a", 104));
 
     assertThat(listener.lines).containsExactly("a@10", "listed@100", "b@105", "-a@104");
@@ -163,7 +163,7 @@
     fail(FeedFailure.UNAVAILABLE);
     assertThat(transport.last()).isEqualTo("watch after 100");
     assertThat(listener.lines).doesNotContain("lost");
-    assertThat(follower.mayBeFollowed()).isTrue();
+    assertThat(follower.mayBeFollowed(revision(100))).isTrue();
   }
 
   @Test
@@ -195,7 +195,7 @@
     lookout = false;
     lookouts.add(PEER);
     answer(100, false);
-    follower.onPeerRevision(107, "10.0.0.9:7400", false);
+    follower.onPeerRevision(revision(107), "10.0.0.9:7400", false);
     clock.advance(StoreFollower.BEHIND_SLACK);
     timers.runDue(clock.nanoTime());
     assertThat(transport.last()).isEqualTo("watch after 100");
@@ -206,15 +206,15 @@
     answer(100, false, written("a", 10), written("b", 20));
     answer(111, false, deleted("a", 111), written("c", 110), deleted("never-seen", 109));
 
-    assertThat(follower.mayBeFollowed()).isTrue();
-    assertThat(follower.view().changesAfter(100).orElseThrow().items())
+    assertThat(follower.mayBeFollowed(revision(100))).isTrue();
+    assertThat(follower.view().changesAfter(revision(100)).orElseThrow().items())
         .extracting(FeedItem::key)
         .containsExactlyInAnyOrder("a", "c", "never-seen");
-    assertThat(follower.view().changesAfter(110).orElseThrow().items())
+    assertThat(follower.view().changesAfter(revision(110)).orElseThrow().items())
         .extracting(FeedItem::key)
         .containsExactly("a");
-    assertThat(follower.view().changesAfter(111).orElseThrow().items()).isEmpty();
-    assertThat(follower.view().changesAfter(99)).isEmpty();
+    assertThat(follower.view().changesAfter(revision(111)).orElseThrow().items()).isEmpty();
+    assertThat(follower.view().changesAfter(revision(99))).isEmpty();
   }
 
   @Test
@@ -233,7 +233,7 @@
   public void aRouterThatStaysBehindTheOthersAsksAnew() {
     lookout = false;
     answer(100, false, written("a", 90));
-    follower.onPeerRevision(103, PEER, true);
+    follower.onPeerRevision(revision(103), PEER, true);
     pass(StoreFollower.BEHIND_SLACK);
     answer(103, false, written("a", 103));
 
@@ -245,7 +245,7 @@
   public void aRouterThatHearsOfAChangeBeforeItComesDoesNotAskTwice() {
     lookout = false;
     answer(100, false, written("a", 90));
-    follower.onPeerRevision(103, PEER, true);
+    follower.onPeerRevision(revision(103), PEER, true);
     answer(103, false, written("a", 103));
     pass(StoreFollower.BEHIND_SLACK);
 
@@ -256,7 +256,7 @@
   public void aRouterThatTheStoreRefusesTakesWhatAPeerHolds() {
     answer(100, false, written("a", 10), written("b", 20));
     fail(FeedFailure.UNAVAILABLE);
-    follower.onPeerRevision(130, PEER, true);
+    follower.onPeerRevision(revision(130), PEER, true);
     assertThat(transport.last()).isEqualTo("list from " + PEER);
     follower.onPeerListing(page(130, false, written("b", 20), written("c", 130)), Optional.empty());
     runBackoff();
@@ -269,7 +269,7 @@
   @Test
   public void aRouterThatStartsWhileTheStoreIsDownIsListedByAPeer() {
     fail(FeedFailure.NO_ANSWER);
-    follower.onPeerRevision(90, PEER, false);
+    follower.onPeerRevision(revision(90), PEER, false);
     follower.onPeerListing(page(95, false, written("a", 90)), Optional.empty());
 
     assertThat(follower.view().isComplete()).isTrue();
@@ -283,7 +283,7 @@
     fail(FeedFailure.NO_ANSWER);
     runBackoff();
     long second = transport.call;
-    follower.onPeerRevision(90, PEER, false);
+    follower.onPeerRevision(revision(90), PEER, false);
     follower.onPeerListing(page(95, false, written("a", 90)), Optional.empty());
     follower.onAnswer(second, page(96, true, written("b", 96)));
 
@@ -295,13 +295,13 @@
   @Test
   public void peersAreNotAskedWhileTheStoreAnswersNorMoreOftenThanNeeded() {
     answer(100, false, written("a", 10));
-    follower.onPeerRevision(130, PEER, true);
+    follower.onPeerRevision(revision(130), PEER, true);
     assertThat(transport.calls).doesNotContain("list from " + PEER);
     fail(FeedFailure.THROTTLED);
-    follower.onPeerRevision(130, PEER, false);
+    follower.onPeerRevision(revision(130), PEER, false);
     assertThat(transport.calls).doesNotContain("list from " + PEER);
-    follower.onPeerRevision(130, PEER, true);
-    follower.onPeerRevision(131, PEER, true);
+    follower.onPeerRevision(revision(130), PEER, true);
+    follower.onPeerRevision(revision(131), PEER, true);
 
     assertThat(transport.calls).containsOnlyOnce("list from " + PEER);
   }
@@ -325,10 +325,10 @@
   @Test
   public void whatOthersHaveSeenOfEarlierRevisionsSaysNothing() {
     answer(100, false, written("a", 90));
-    follower.onPeerRevision(100, PEER, true);
+    follower.onPeerRevision(revision(100), PEER, true);
     pass(StoreFollower.BEHIND_SLACK.multipliedBy(2));
 
     assertThat(transport.calls).containsExactly("list", "watch after 100");
-    assertThat(follower.view().newestRevision()).isEqualTo(90);
+    assertThat(follower.view().newestRevision()).isEqualTo(revision(90));
   }
 }
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/FakeStore.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/FakeStore.java
@@ -5,6 +5,7 @@
 import io.arrowarch.core.feed.FeedAnswer;
 import io.arrowarch.core.feed.FeedEntry;
 import io.arrowarch.core.feed.FeedItem;
+import io.arrowarch.core.feed.StoreRevision;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -19,7 +20,7 @@
   private final FakeClock clock;
   private final TreeMap<String, FeedItem> items = new TreeMap<>();
   private final List<Change> changes = new ArrayList<>();
-  private long revision = 100;
+  private StoreRevision revision = new StoreRevision(1, 100);
   private long historyFrom = 100;
 
   /** A write, or a deletion. */
@@ -29,26 +30,30 @@
     this.clock = clock;
   }
 
-  long revision() {
+  StoreRevision revision() {
     return revision;
   }
 
   void write(String key) {
-    FeedItem item =
-        new FeedItem(key, ++revision, Optional.of(new FeedEntry.Unknown()), "v" + revision);
+    FeedItem item = new FeedItem(key, next(), Optional.of(new FeedEntry.Unknown()), "v" + revision);
     items.put(key, item);
     changes.add(new Change(clock.nanoTime(), item));
   }
 
   void delete(String key) {
     if (items.remove(key) != null) {
-      FeedItem item = new FeedItem(key, ++revision, Optional.empty(), "");
+      FeedItem item = new FeedItem(key, next(), Optional.empty(), "");
       changes.add(new Change(clock.nanoTime(), item));
     }
   }
 
+  private StoreRevision next() {
+    revision = new StoreRevision(revision.era(), revision.number() + 1);
+    return revision;
+  }
+
   void forgetHistory() {
-    historyFrom = revision;
+    historyFrom = revision.number();
   }
 
   FeedAnswer list(Optional<String> after) {
@@ -60,12 +65,12 @@
 
   /** The changes after a revision; empty when they have been forgotten. */
   Optional<FeedAnswer> changesAfter(long after) {
-    if (after < historyFrom) {
+    if (after < historyFrom || after > revision.number()) {
       return Optional.empty();
     }
     ImmutableList.Builder<FeedItem> later = ImmutableList.builder();
     for (Change change : changes) {
-      if (change.item().revision() > after) {
+      if (change.item().revision().number() > after) {
         later.add(change.item());
       }
     }
@@ -73,10 +78,10 @@
   }
 
   /** Whether a key was deleted after a revision and by another one. */
-  boolean wasDeleted(String key, long after, long until) {
+  boolean wasDeleted(String key, StoreRevision after, StoreRevision until) {
     for (Change change : changes) {
       FeedItem item = change.item();
-      boolean between = item.revision() > after && item.revision() <= until;
+      boolean between = item.revision().isAfter(after) && !item.revision().isAfter(until);
       if (between && item.key().equals(key) && item.entry().isEmpty()) {
         return true;
       }
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/FollowerFleet.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/FollowerFleet.java
@@ -13,10 +13,12 @@
 import io.arrowarch.core.feed.FeedListener;
 import io.arrowarch.core.feed.FeedTransport;
 import io.arrowarch.core.feed.StoreFollower;
+import io.arrowarch.core.feed.StoreRevision;
 import io.arrowarch.core.peer.MemberRecord;
 import io.arrowarch.core.peer.NearbyRouter;
 import io.arrowarch.core.peer.PeerMessage;
 import io.arrowarch.core.peer.PeerTransport;
+import io.arrowarch.core.peer.StoreNews;
 import io.arrowarch.core.time.TimerQueue;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -178,7 +180,7 @@
     }
 
     @Override
-    public void watch(long call, long after, Duration wait, Duration timeout) {
+    public void watch(long call, StoreRevision after, Duration wait, Duration timeout) {
       int caller = life;
       callStore(
           call, timeout, () -> holdWatch(caller, call, after, clock.nanoTime() + wait.toNanos()));
@@ -194,8 +196,8 @@
       }
     }
 
-    private void holdWatch(int caller, long call, long after, long untilNanos) {
-      Optional<FeedAnswer> changes = store.changesAfter(after);
+    private void holdWatch(int caller, long call, StoreRevision after, long untilNanos) {
+      Optional<FeedAnswer> changes = store.changesAfter(after.number());
       if (changes.isEmpty()) {
         later(caller, way(), () -> follower.onFailure(call, FeedFailure.HISTORY_GONE));
       } else if (!changes.get().items().isEmpty() || clock.nanoTime() >= untilNanos) {
@@ -213,7 +215,8 @@
     }
 
     @Override
-    public void watchPeer(long call, String address, long after, Duration wait, Duration timeout) {
+    public void watchPeer(
+        long call, String address, StoreRevision after, Duration wait, Duration timeout) {
       later(timeout, () -> follower.onFailure(call, FeedFailure.NO_ANSWER));
       Router lookout = find(address);
       int caller = life;
@@ -228,9 +231,21 @@
     }
 
     private void holdFeed(
-        Router asker, int caller, long call, long after, long receivedNanos, long untilNanos) {
+        Router asker,
+        int caller,
+        long call,
+        StoreRevision after,
+        long receivedNanos,
+        long untilNanos) {
+      boolean waitIsOver = clock.nanoTime() >= untilNanos;
+      if (follower.view().isBetweenEras() && !waitIsOver) {
+        later(
+            Duration.ofMillis(5),
+            () -> holdFeed(asker, caller, call, after, receivedNanos, untilNanos));
+        return;
+      }
       Optional<FeedAnswer> changes = follower.view().changesAfter(after);
-      if (!follower.mayBeFollowed()) {
+      if (!follower.mayBeFollowed(after)) {
         reply(asker, caller, () -> asker.follower.onFailure(call, FeedFailure.UNAVAILABLE));
       } else if (changes.isEmpty()) {
         reply(asker, caller, () -> asker.follower.onFailure(call, FeedFailure.HISTORY_GONE));
@@ -313,12 +328,12 @@
     }
 
     @Override
-    public void onWritten(String key, FeedEntry entry, long revision) {
+    public void onWritten(String key, FeedEntry entry, StoreRevision revision) {
       known.put(key, new FeedItem(key, revision, Optional.of(entry), ""));
     }
 
     @Override
-    public void onDeleted(String key, long revision) {
+    public void onDeleted(String key, StoreRevision revision) {
       known.put(key, new FeedItem(key, revision, Optional.empty(), ""));
     }
 
@@ -326,25 +341,22 @@
     public void onAnswerTold() {}
 
     @Override
-    public void onListed(long revision) {}
+    public void onListed(StoreRevision revision) {}
 
     @Override
     public void onLost(FeedFailure failure) {}
 
     @Override
-    public void onHistoryGone(long revision) {}
-
-    @Override
-    public void onEra(long era) {}
+    public void onHistoryGone(StoreRevision revision) {}
 
     @Override
-    public void onLeftOut(FeedItem item, long knownRevision) {}
+    public void onNewEra(StoreRevision from, StoreRevision to) {}
 
     @Override
-    public void onBehind(long revision) {}
+    public void onBehind(StoreRevision revision) {}
 
     @Override
-    public void onListedByPeer(long revision) {}
+    public void onListedByPeer(StoreRevision revision) {}
 
     @Override
     public void onPeerListingFailed() {}
@@ -355,28 +367,18 @@
     /** What the others hear and tell. */
     private final class Revisions implements RouterPeers.StoreRevisions {
       @Override
-      public long newestSeen() {
-        return follower.view().newestRevision();
-      }
-
-      @Override
-      public long position() {
-        return follower.view().position();
-      }
-
-      @Override
-      public Optional<Duration> viewAge() {
-        return follower.view().age();
+      public StoreNews news() {
+        return follower.view().news();
       }
 
       @Override
-      public void onConfirmedByPeer(long position, long askedNanos, Duration age) {
+      public void onConfirmedByPeer(StoreRevision position, long askedNanos, Duration age) {
         follower.view().onConfirmedByPeer(position, askedNanos, age);
       }
 
       @Override
-      public void onSeenByPeer(long revision, String address, boolean near) {
-        follower.onPeerRevision(revision, address, near);
+      public void onSeenByPeer(StoreNews news, String address, boolean near) {
+        follower.onPeerNews(news, address, near);
       }
     }
   }
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/FreshnessTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/FreshnessTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.arrowarch.core.feed.StoreRevision;
 import java.time.Duration;
 import org.testng.annotations.Test;
 
@@ -33,7 +34,7 @@
       router.access = FollowerFleet.StoreAccess.ANSWERS_LOST;
     }
     fleet.store.write("a");
-    long revision = fleet.store.revision();
+    StoreRevision revision = fleet.store.revision();
     fleet.run(Duration.ofSeconds(5), () -> {});
     for (FollowerFleet.Router router : fleet.routers) {
       assertThat(router.known.get("a").revision())
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/ReadinessTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/ReadinessTest.java
@@ -12,6 +12,7 @@
 import io.arrowarch.core.feed.FeedEntry;
 import io.arrowarch.core.feed.FeedItem;
 import io.arrowarch.core.feed.FeedTransport;
+import io.arrowarch.core.feed.StoreRevision;
 import io.arrowarch.core.peer.NearbyRouter;
 import io.arrowarch.core.route.CallerLimits;
 import io.arrowarch.core.route.RoutingConfiguration;
@@ -63,7 +64,10 @@
   public void whenItHearsNobodyCallersAreBetterOffElsewhere() {
     nearby = ImmutableList.of();
     assertThat(router.isReady()).isFalse();
-    router.follower().view().onConfirmedByPeer(7, clock.nanoTime(), Duration.ZERO);
+    router
+        .follower()
+        .view()
+        .onConfirmedByPeer(new StoreRevision(0, 7), clock.nanoTime(), Duration.ZERO);
     assertThat(router.isReady()).isTrue();
   }
 
@@ -95,8 +99,8 @@
             CallerLimits.DEFAULT,
             new Tenants(ImmutableList.of(tenant)));
     FeedEntry entry = new FeedEntry.Configuration(configuration);
-    FeedItem item = new FeedItem("configuration", 7, Optional.of(entry), "");
-    return new FeedAnswer(ImmutableList.of(item), 7, false);
+    FeedItem item = new FeedItem("configuration", new StoreRevision(0, 7), Optional.of(entry), "");
+    return new FeedAnswer(ImmutableList.of(item), new StoreRevision(0, 7), false);
   }
 
   private final class Group implements RouterGroup {
@@ -121,10 +125,11 @@
     public void list(long call, Optional<String> afterKey, Duration timeout) {}
 
     @Override
-    public void watch(long call, long after, Duration wait, Duration timeout) {}
+    public void watch(long call, StoreRevision after, Duration wait, Duration timeout) {}
 
     @Override
-    public void watchPeer(long call, String address, long after, Duration wait, Duration timeout) {}
+    public void watchPeer(
+        long call, String address, StoreRevision after, Duration wait, Duration timeout) {}
 
     @Override
     public void listFromPeer(String address) {}
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/RouterPeersTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/RouterPeersTest.java
@@ -4,9 +4,11 @@
 
 import io.arrowarch.core.FakeClock;
 import io.arrowarch.core.event.EventLog;
+import io.arrowarch.core.feed.StoreRevision;
 import io.arrowarch.core.peer.MemberRecord;
 import io.arrowarch.core.peer.PeerBody;
 import io.arrowarch.core.peer.PeerMessage;
+import io.arrowarch.core.peer.StoreNews;
 import io.arrowarch.core.time.TimerQueue;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -162,29 +164,23 @@
             server -> drains.add(id + " " + server),
             new RouterPeers.StoreRevisions() {
               @Override
-              public long newestSeen() {
-                return seen.getOrDefault(id, 0L);
+              public StoreNews news() {
+                StoreRevision newest = new StoreRevision(0, seen.getOrDefault(id, 0L));
+                long age =
+                    Optional.ofNullable(confirmedNanos.get(id))
+                        .map(nanos -> Duration.ofNanos(clock.nanoTime() - nanos).toMillis() + 1)
+                        .orElse(StoreNews.NEVER);
+                return new StoreNews(newest, newest, age, 0);
               }
 
               @Override
-              public long position() {
-                return seen.getOrDefault(id, 0L);
-              }
-
-              @Override
-              public Optional<Duration> viewAge() {
-                return Optional.ofNullable(confirmedNanos.get(id))
-                    .map(nanos -> Duration.ofNanos(clock.nanoTime() - nanos));
-              }
-
-              @Override
-              public void onConfirmedByPeer(long revision, long askedNanos, Duration age) {
+              public void onConfirmedByPeer(StoreRevision revision, long askedNanos, Duration age) {
                 confirmedNanos.merge(id, askedNanos - age.toNanos(), Math::max);
               }
 
               @Override
-              public void onSeenByPeer(long revision, String address, boolean near) {
-                heard.merge(id, revision, Math::max);
+              public void onSeenByPeer(StoreNews news, String address, boolean near) {
+                heard.merge(id, news.newest().number(), Math::max);
               }
             },
             message -> {});
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/FeedCodec.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/FeedCodec.java
@@ -2,6 +2,7 @@
 
 import io.arrowarch.core.feed.FeedAnswer;
 import io.arrowarch.core.feed.FeedFailure;
+import io.arrowarch.core.feed.StoreRevision;
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.Optional;
@@ -12,7 +13,7 @@
   String listTarget(Optional<String> afterKey);
 
   /** Path and query of a watch. */
-  String watchTarget(long afterRevision, Duration longestWait);
+  String watchTarget(StoreRevision after, Duration longestWait);
 
   /** What this router holds, as a listing of one page, for other routers. */
   byte[] encodeListing(FeedAnswer listing);
@@ -23,6 +24,10 @@
   /** Name of the header in which each answer of the store states its era, a whole number. */
   String eraHeader();
 
-  /** Reads an answer to either, or the listing of another router. */
-  Either<FeedFailure, FeedAnswer> decode(int status, byte[] body);
+  /**
+   * Reads an answer to either, or the listing of another router.
+   *
+   * @param era as the answer's header states it; empty when there is none
+   */
+  Either<FeedFailure, FeedAnswer> decode(int status, Optional<String> era, byte[] body);
 }
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/FeedServer.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/FeedServer.java
@@ -4,6 +4,7 @@
 import com.google.common.primitives.Longs;
 import io.arrowarch.core.feed.FeedAnswer;
 import io.arrowarch.core.feed.StoreFollower;
+import io.arrowarch.core.feed.StoreRevision;
 import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -23,6 +24,9 @@
   /** The revision after which changes are asked for; without it all is told. */
   static final String AFTER = "after";
 
+  /** The era of that revision; 0 where none is given. */
+  static final String ERA = "era";
+
   /** How long an answer may wait for a change, in milliseconds. */
   static final String WAIT = "wait";
 
@@ -40,17 +44,18 @@
   /**
    * A listing in the form in which it is told.
    *
-   * @param newest key in it
-   * @param position up to which all is known; it alone rises when a listing finds a key missing
+   * @param changes of what was held when it was made
+   * @param position up to which all was known
    */
-  private record Compressed(long newest, long position, Buffer body) {
-    boolean isOf(long otherNewest, long otherPosition) {
-      return newest == otherNewest && position == otherPosition;
+  private record Compressed(long changes, StoreRevision position, Buffer body) {
+    boolean isOf(long otherChanges, StoreRevision otherPosition) {
+      return changes == otherChanges && position.equals(otherPosition);
     }
   }
 
   /** A request for changes that has not been answered, with the timer of its end. */
-  private record Waiting(HttpServerRequest request, long receivedNanos, long after, long timer) {}
+  private record Waiting(
+      HttpServerRequest request, long receivedNanos, StoreRevision after, long timer) {}
 
   FeedServer(Vertx vertx, Supplier<StoreFollower> follower, FeedCodec codec) {
     this.vertx = vertx;
@@ -65,12 +70,14 @@
       answerListing(request);
       return;
     }
-    Long revision = Longs.tryParse(after);
+    Long number = Longs.tryParse(after);
+    Long era = Longs.tryParse(request.getParam(ERA, "0"));
     Long wait = Longs.tryParse(request.getParam(WAIT, ""));
-    if (revision == null || wait == null || wait < 1 || wait > LONGEST_WAIT_MILLIS) {
+    if (number == null || era == null || wait == null || wait < 1 || wait > LONGEST_WAIT_MILLIS) {
       end(request, BAD_REQUEST);
     } else {
       long receivedNanos = System.nanoTime();
+      StoreRevision revision = new StoreRevision(era, number);
       if (!answerChanges(request, receivedNanos, revision, false)) {
         hold(request, receivedNanos, revision, wait);
       }
@@ -86,7 +93,8 @@
     }
   }
 
-  private void hold(HttpServerRequest request, long receivedNanos, long after, long waitMillis) {
+  private void hold(
+      HttpServerRequest request, long receivedNanos, StoreRevision after, long waitMillis) {
     long timer = vertx.setTimer(waitMillis, id -> onWaitOver(request));
     Waiting held = new Waiting(request, receivedNanos, after, timer);
     waiting.add(held);
@@ -119,6 +127,7 @@
   }
 
   private void end(HttpServerRequest request, FeedAnswer listing) {
+    stateEra(request, listing);
     String accepted = request.getHeader(HttpHeaders.ACCEPT_ENCODING);
     if (accepted == null || !accepted.contains(CompressedListing.ENCODING)) {
       request.response().end(Buffer.buffer(codec.encodeListing(listing)));
@@ -130,19 +139,23 @@
 
   /** When many routers start together, all get the same bytes. */
   private Buffer compressed(FeedAnswer listing) {
-    long newest = follower.get().view().newestRevision();
-    boolean same = compressed.filter(made -> made.isOf(newest, listing.revision())).isPresent();
+    long changes = follower.get().view().changes();
+    boolean same = compressed.filter(made -> made.isOf(changes, listing.revision())).isPresent();
     if (!same) {
       Buffer body = Buffer.buffer(CompressedListing.write(codec.encodeListing(listing)));
-      compressed = Optional.of(new Compressed(newest, listing.revision(), body));
+      compressed = Optional.of(new Compressed(changes, listing.revision(), body));
     }
     return compressed.get().body();
   }
 
   /** Answers with what has changed; returns false when nothing has and there is time to wait. */
   private boolean answerChanges(
-      HttpServerRequest request, long receivedNanos, long after, boolean waitIsOver) {
-    if (!follower.get().mayBeFollowed()) {
+      HttpServerRequest request, long receivedNanos, StoreRevision after, boolean waitIsOver) {
+    if (follower.get().view().isBetweenEras() && !waitIsOver) {
+      // All is told at once when the listing is complete; asking the store would be a herd.
+      return false;
+    }
+    if (!follower.get().mayBeFollowed(after)) {
       end(request, UNAVAILABLE);
       return true;
     }
@@ -155,6 +168,7 @@
       return false;
     }
     stateAge(request, receivedNanos);
+    stateEra(request, changes.get());
     request.response().end(Buffer.buffer(codec.encodeChanges(changes.get())));
     return true;
   }
@@ -171,6 +185,10 @@
         .ifPresent(age -> ViewAge.put(request.response().headers(), age));
   }
 
+  private void stateEra(HttpServerRequest request, FeedAnswer answer) {
+    request.response().putHeader(codec.eraHeader(), Long.toString(answer.revision().era()));
+  }
+
   private static void end(HttpServerRequest request, int status) {
     request.response().setStatusCode(status).end();
   }
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/FollowedRevisions.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/FollowedRevisions.java
@@ -1,12 +1,13 @@
 package io.arrowarch.node.forward;
 
 import io.arrowarch.core.feed.StoreFollower;
+import io.arrowarch.core.feed.StoreRevision;
 import io.arrowarch.core.forward.RouterPeers;
+import io.arrowarch.core.peer.StoreNews;
 import java.time.Duration;
-import java.util.Optional;
 import java.util.function.Supplier;
 
-/** The revisions that the follower of the store has seen, and what it hears of others. */
+/** What the follower of the store knows, and what it hears of others. */
 final class FollowedRevisions implements RouterPeers.StoreRevisions {
   private final Supplier<StoreFollower> follower;
 
@@ -15,27 +16,17 @@
   }
 
   @Override
-  public long newestSeen() {
-    return follower.get().view().newestRevision();
+  public StoreNews news() {
+    return follower.get().view().news();
   }
 
   @Override
-  public long position() {
-    return follower.get().view().position();
-  }
-
-  @Override
-  public Optional<Duration> viewAge() {
-    return follower.get().view().age();
-  }
-
-  @Override
-  public void onConfirmedByPeer(long position, long askedNanos, Duration age) {
+  public void onConfirmedByPeer(StoreRevision position, long askedNanos, Duration age) {
     follower.get().view().onConfirmedByPeer(position, askedNanos, age);
   }
 
   @Override
-  public void onSeenByPeer(long revision, String address, boolean near) {
-    follower.get().onPeerRevision(revision, address, near);
+  public void onSeenByPeer(StoreNews news, String address, boolean near) {
+    follower.get().onPeerNews(news, address, near);
   }
 }
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardWarmUp.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardWarmUp.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableSet;
 import io.arrowarch.core.event.EventLog;
 import io.arrowarch.core.feed.FeedTransport;
+import io.arrowarch.core.feed.StoreRevision;
 import io.arrowarch.core.forward.ForwardOptions;
 import io.arrowarch.core.forward.ForwardingRouter;
 import io.arrowarch.core.forward.RouterGroup;
@@ -130,7 +131,7 @@
   /** Runs; completes with the number of searches answered, and never fails. */
   Future<Integer> run() {
     for (int i = 0; i < LISTINGS; i++) {
-      feedCodec.decode(OK, codec.listing());
+      feedCodec.decode(OK, Optional.empty(), codec.listing());
     }
     return backend
         .listen()
@@ -252,11 +253,11 @@
     public void list(long call, Optional<String> afterKey, Duration timeout) {}
 
     @Override
-    public void watch(long call, long afterRevision, Duration longestWait, Duration timeout) {}
+    public void watch(long call, StoreRevision after, Duration longestWait, Duration timeout) {}
 
     @Override
     public void watchPeer(
-        long call, String address, long afterRevision, Duration wait, Duration timeout) {}
+        long call, String address, StoreRevision after, Duration wait, Duration timeout) {}
 
     @Override
     public void listFromPeer(String address) {}
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/StoreClient.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/StoreClient.java
@@ -1,14 +1,15 @@
 package io.arrowarch.node.forward;
 
-import com.google.common.primitives.Longs;
 import io.arrowarch.core.feed.FeedAnswer;
 import io.arrowarch.core.feed.FeedFailure;
 import io.arrowarch.core.feed.FeedTransport;
 import io.arrowarch.core.feed.StoreFollower;
+import io.arrowarch.core.feed.StoreRevision;
 import io.arrowarch.node.BoundedBody;
 import io.arrowarch.node.EventLoopDriver;
 import io.arrowarch.node.PeerEndpoint;
 import io.arrowarch.node.SocketAddressSetting;
+import io.vavr.control.Either;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -102,21 +103,23 @@
   }
 
   @Override
-  public void watch(long call, long afterRevision, Duration longestWait, Duration timeout) {
+  public void watch(long call, StoreRevision after, Duration longestWait, Duration timeout) {
     watchCalls++;
-    get(call, store, codec.watchTarget(afterRevision, longestWait), timeout, this::onStoreAnswer);
+    get(call, store, codec.watchTarget(after, longestWait), timeout, this::onStoreAnswer);
   }
 
   @Override
   public void watchPeer(
-      long call, String address, long afterRevision, Duration longestWait, Duration timeout) {
+      long call, String address, StoreRevision after, Duration longestWait, Duration timeout) {
     peerCalls++;
     String target =
-        "%s?%s=%d&%s=%d"
+        "%s?%s=%d&%s=%d&%s=%d"
             .formatted(
                 PeerEndpoint.FEED_PATH,
                 FeedServer.AFTER,
-                afterRevision,
+                after.number(),
+                FeedServer.ERA,
+                after.era(),
                 FeedServer.WAIT,
                 longestWait.toMillis());
     get(call, SocketAddressSetting.parse(address), target, timeout, this::onPeerAnswer);
@@ -151,20 +154,22 @@
         () ->
             CompressedListing.read(response.headers(), body.getBytes())
                 .toEither(FeedFailure.NO_ANSWER)
-                .flatMap(bytes -> codec.decode(response.statusCode(), bytes))
+                .flatMap(bytes -> decode(response, bytes))
                 .peek(listing -> follower.get().onPeerListing(listing, age))
                 .peekLeft(failure -> follower.get().onPeerListingFailed()));
   }
 
+  private Either<FeedFailure, FeedAnswer> decode(HttpClientResponse response, byte[] body) {
+    Optional<String> era = Optional.ofNullable(response.getHeader(codec.eraHeader()));
+    return codec.decode(response.statusCode(), era, body);
+  }
+
   /** Takes an answer that could be decoded. */
   private interface AnswerHandler {
     void handle(long call, FeedAnswer answer, HttpClientResponse response);
   }
 
   private void onStoreAnswer(long call, FeedAnswer answer, HttpClientResponse response) {
-    Optional.ofNullable(response.getHeader(codec.eraHeader()))
-        .flatMap(text -> Optional.ofNullable(Longs.tryParse(text)))
-        .ifPresent(era -> follower.get().onEra(era));
     follower.get().onAnswer(call, answer);
   }
 
@@ -212,8 +217,7 @@
     }
     driver.run(
         () ->
-            codec
-                .decode(response.statusCode(), body.getBytes())
+            decode(response, body.getBytes())
                 .peek(answer -> handler.handle(call, answer, response))
                 .peekLeft(failure -> follower.get().onFailure(call, failure)));
     onFollowed.run();
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/StreamingPeerCodec.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/StreamingPeerCodec.java
@@ -4,10 +4,12 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.google.common.collect.ImmutableList;
 import io.arrowarch.core.config.ConfigurationId;
+import io.arrowarch.core.feed.StoreRevision;
 import io.arrowarch.core.peer.DrainMark;
 import io.arrowarch.core.peer.MemberRecord;
 import io.arrowarch.core.peer.PeerBody;
 import io.arrowarch.core.peer.PeerMessage;
+import io.arrowarch.core.peer.StoreNews;
 import io.arrowarch.node.JsonFields;
 import io.arrowarch.node.PeerCodec;
 import io.vavr.control.Try;
@@ -133,9 +135,7 @@
   }
 
   private static void writeNews(JsonGenerator json, PeerBody.News news) throws IOException {
-    json.writeNumberField("storeRevision", news.storeRevision());
-    json.writeNumberField("storePosition", news.storePosition());
-    json.writeNumberField("storeAgeMillis", news.storeAgeMillis());
+    writeObject(json, "store", fields -> writeStoreNews(fields, news.store()));
     json.writeBooleanField("bulk", news.bulk());
     writeList(json, "members", news.members(), StreamingPeerCodec::writeMember);
     writeList(json, "drains", news.drains(), StreamingPeerCodec::writeDrain);
@@ -146,9 +146,7 @@
     return new PeerBody.News(
         ConfigurationId.NONE,
         ConfigurationId.NONE,
-        news.whole("storeRevision"),
-        news.whole("storePosition"),
-        news.whole("storeAgeMillis"),
+        readStoreNews(news.object("store")),
         news.flag("bulk"),
         news.objects("members").stream()
             .map(StreamingPeerCodec::readMember)
@@ -158,6 +156,30 @@
             .collect(ImmutableList.toImmutableList()));
   }
 
+  private static void writeStoreNews(JsonGenerator json, StoreNews news) throws IOException {
+    writeObject(json, "newest", fields -> writeRevision(fields, news.newest()));
+    writeObject(json, "position", fields -> writeRevision(fields, news.position()));
+    json.writeNumberField("ageMillis", news.ageMillis());
+    json.writeNumberField("configurationVersion", news.configurationVersion());
+  }
+
+  private static StoreNews readStoreNews(JsonFields news) {
+    return new StoreNews(
+        readRevision(news.object("newest")),
+        readRevision(news.object("position")),
+        news.whole("ageMillis"),
+        news.whole("configurationVersion"));
+  }
+
+  private static void writeRevision(JsonGenerator json, StoreRevision revision) throws IOException {
+    json.writeNumberField("era", revision.era());
+    json.writeNumberField("number", revision.number());
+  }
+
+  private static StoreRevision readRevision(JsonFields revision) {
+    return new StoreRevision(revision.whole("era"), revision.whole("number"));
+  }
+
   private static void writeMember(JsonGenerator json, MemberRecord member) throws IOException {
     json.writeStringField("id", member.id());
     json.writeStringField("zone", member.zone());
--- a/arrowarch-node/src/test/java/io/arrowarch/node/forward/StreamingPeerCodecTest.java
+++ b/arrowarch-node/src/test/java/io/arrowarch/node/forward/StreamingPeerCodecTest.java
@@ -3,10 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.arrowarch.core.config.ConfigurationId;
+import io.arrowarch.core.feed.StoreRevision;
 import io.arrowarch.core.peer.DrainMark;
 import io.arrowarch.core.peer.MemberRecord;
 import io.arrowarch.core.peer.PeerBody;
 import io.arrowarch.core.peer.PeerMessage;
+import io.arrowarch.core.peer.StoreNews;
 import io.arrowarch.node.DataBindingPeerCodec;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -20,9 +22,7 @@
       new PeerBody.News(
           ConfigurationId.NONE,
           ConfigurationId.NONE,
-          70,
-          71,
-          PeerBody.News.NEVER,
+          new StoreNews(new StoreRevision(2, 70), new StoreRevision(1, 71), StoreNews.NEVER, 9),
           true,
           List.of(SENDER, SENDER.withState(MemberRecord.State.LEAVING)),
           List.of(new DrainMark("i-1", "i-1")));
