Tests: a fleet of routers follows a store that comes back older, in virtual time

Cause looked for: what else of the order of knowledge goes wrong with cuts, refusals, pauses and starts in between. Change: the store of the tests comes back from a copy; configurations in it. Figures: at most one listing and one failed watch a router for an era, asserted; every router at the newest version 3 s after it was written.

--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/FakeStore.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/FakeStore.java
@@ -1,20 +1,26 @@
 package io.arrowarch.core.forward;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import io.arrowarch.core.FakeClock;
 import io.arrowarch.core.feed.FeedAnswer;
 import io.arrowarch.core.feed.FeedEntry;
 import io.arrowarch.core.feed.FeedItem;
 import io.arrowarch.core.feed.StoreRevision;
+import io.arrowarch.core.route.CallerLimits;
+import io.arrowarch.core.route.RoutingConfiguration;
+import io.arrowarch.core.tenant.Tenants;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 
 /** A platform's store in virtual time, with the moments of all its changes. */
 final class FakeStore {
+  static final String CONFIGURATION = "a-configuration";
   private static final int PAGE = 3;
 
   private final FakeClock clock;
@@ -23,6 +29,11 @@
   private StoreRevision revision = new StoreRevision(1, 100);
   private long historyFrom = 100;
 
+  private Optional<Copy> copy = Optional.empty();
+
+  /** What the store held at some moment, from which it may come back. */
+  private record Copy(TreeMap<String, FeedItem> items, StoreRevision revision) {}
+
   /** A write, or a deletion. */
   record Change(long nanos, FeedItem item) {}
 
@@ -40,6 +51,48 @@
     changes.add(new Change(clock.nanoTime(), item));
   }
 
+  void configure(long version) {
+    RoutingConfiguration configuration =
+        new RoutingConfiguration(
+            version,
+            ImmutableList.of(),
+            ImmutableMap.of(),
+            CallerLimits.DEFAULT,
+            new Tenants(ImmutableList.of()));
+    Optional<FeedEntry> entry = Optional.of(new FeedEntry.Configuration(configuration));
+    FeedItem item = new FeedItem(CONFIGURATION, next(), entry, "version " + version);
+    items.put(item.key(), item);
+    changes.add(new Change(clock.nanoTime(), item));
+  }
+
+  /** Keeps a copy, in place of the one before. */
+  void takeCopy() {
+    copy = Optional.of(new Copy(new TreeMap<>(items), revision));
+  }
+
+  /** Loses what was written since the copy was taken, if there is one. */
+  void comeBackOlder() {
+    if (copy.isEmpty()) {
+      return;
+    }
+    items.clear();
+    items.putAll(copy.get().items());
+    changes.clear();
+    historyFrom = copy.get().revision().number();
+    revision = new StoreRevision(revision.era() + 1, historyFrom);
+    // As the store gives them out now.
+    items.replaceAll((key, item) -> in(revision.era(), item));
+  }
+
+  private static FeedItem in(long era, FeedItem item) {
+    StoreRevision given = new StoreRevision(era, item.revision().number());
+    return new FeedItem(item.key(), given, item.entry(), item.value());
+  }
+
+  Set<String> keys() {
+    return items.keySet();
+  }
+
   void delete(String key) {
     if (items.remove(key) != null) {
       FeedItem item = new FeedItem(key, next(), Optional.empty(), "");
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/FollowerFleet.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/FollowerFleet.java
@@ -23,10 +23,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 
 /**
  * Followers of one store in virtual time, with their lookouts and their messages: calls take a few
@@ -73,6 +75,12 @@
     /** The newest change of each key that it has been told. */
     final Map<String, FeedItem> known = new HashMap<>();
 
+    /** The keys that it believes to be there. */
+    final Set<String> present = new HashSet<>();
+
+    /** The version that it has in force: never an older one than before. */
+    long version;
+
     private final List<Runnable> unread = new ArrayList<>();
     private final MachineClock machine = new MachineClock(clock);
     private TimerQueue timers = new TimerQueue();
@@ -88,6 +96,8 @@
       life++;
       machine.wake();
       known.clear();
+      present.clear();
+      version = 0;
       unread.clear();
       paused = false;
       timers = new TimerQueue();
@@ -330,11 +340,16 @@
     @Override
     public void onWritten(String key, FeedEntry entry, StoreRevision revision) {
       known.put(key, new FeedItem(key, revision, Optional.of(entry), ""));
+      present.add(key);
+      if (entry instanceof FeedEntry.Configuration written) {
+        version = Math.max(version, written.configuration().version());
+      }
     }
 
     @Override
     public void onDeleted(String key, StoreRevision revision) {
       known.put(key, new FeedItem(key, revision, Optional.empty(), ""));
+      present.remove(key);
     }
 
     @Override
--- /dev/null
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/OlderStoreFleetTest.java
@@ -0,0 +1,76 @@
+package io.arrowarch.core.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import org.testng.annotations.Test;
+
+/** A whole fleet when the store comes back older: how soon it follows, and what that costs. */
+public final class OlderStoreFleetTest {
+  private static final Duration START = Duration.ofSeconds(8);
+  private static final int ROUTERS = 24;
+
+  /** Pages of a listing in these tests. */
+  private static final int PAGES = 4;
+
+  private FollowerFleet fleetWithVersion(long version) {
+    FollowerFleet fleet = new FollowerFleet(ROUTERS, 3, 1);
+    for (int key = 0; key < 9; key++) {
+      fleet.store.write("key-" + key);
+    }
+    fleet.store.configure(version);
+    fleet.store.takeCopy();
+    fleet.run(START, () -> {});
+    return fleet;
+  }
+
+  @Test
+  public void whatIsWrittenAfterwardsIsInForceEverywhereInTime() {
+    FollowerFleet fleet = fleetWithVersion(23);
+    fleet.store.configure(26);
+    fleet.run(Duration.ofSeconds(2), () -> {});
+    fleet.store.comeBackOlder();
+    fleet.run(Duration.ofSeconds(1), () -> {});
+    fleet.store.configure(28);
+    fleet.run(Duration.ofSeconds(3), () -> {});
+
+    for (FollowerFleet.Router router : fleet.routers) {
+      assertThat(router.version).as("router " + router.number).isEqualTo(28);
+    }
+  }
+
+  @Test
+  public void theNewEraCostsNoHerdOfCalls() {
+    FollowerFleet fleet = fleetWithVersion(23);
+    fleet.store.configure(26);
+    fleet.run(Duration.ofSeconds(2), () -> {});
+    int before = fleet.storeCalls;
+    fleet.run(Duration.ofSeconds(5), () -> {});
+    int usual = fleet.storeCalls - before;
+    before = fleet.storeCalls;
+    fleet.store.comeBackOlder();
+    fleet.run(Duration.ofSeconds(5), () -> {});
+
+    // One listing and one failed watch a router at most, beside the usual watches.
+    assertThat(fleet.storeCalls - before - usual).isLessThanOrEqualTo(ROUTERS * (PAGES + 1));
+  }
+
+  @Test
+  public void aRouterThatStartsAfterwardsServesTheVersionThatOthersRemember() {
+    FollowerFleet fleet = fleetWithVersion(23);
+    fleet.store.configure(26);
+    fleet.run(Duration.ofSeconds(2), () -> {});
+    fleet.store.comeBackOlder();
+    fleet.run(Duration.ofSeconds(1), () -> {});
+    for (FollowerFleet.Router router : fleet.routers) {
+      if (router.number % 2 == 0) {
+        router.start();
+      }
+    }
+    fleet.run(Duration.ofSeconds(4), () -> {});
+
+    for (FollowerFleet.Router router : fleet.routers) {
+      assertThat(router.version).as("router " + router.number).isEqualTo(26);
+    }
+  }
+}
--- /dev/null
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/OlderStoreProperties.java
@@ -0,0 +1,187 @@
+package io.arrowarch.core.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.Tuple;
+import net.jqwik.api.constraints.IntRange;
+
+/**
+ * Whatever is cut, refused, lost, paused, forgotten or started anew while the store comes back
+ * older again and again: no router goes back to an earlier version within its life, and once all is
+ * mended and the writers have written again, every router holds what the store holds, without
+ * asking it on and on.
+ */
+class OlderStoreProperties {
+  private static final int KEYS = 7;
+  private static final Duration CALM = Duration.ofSeconds(12);
+
+  /** A router confirms its view about every second and a half; an era costs it a listing. */
+  private static final int MOST_CALLS_A_ROUTER_IN_CALM = 40;
+
+  /** What happens next; {@code pick} chooses among routers and keys. */
+  enum Event {
+    WRITE,
+    DELETE,
+    CONFIGURE,
+    TAKE_COPY,
+    COME_BACK_OLDER,
+    WRITE_AGAIN,
+    REFUSE,
+    LOSE_ANSWERS,
+    CUT_FROM_STORE,
+    CUT_FROM_PEERS,
+    MEND,
+    PAUSE,
+    RESTART,
+    RESTART_ALL,
+    FORGET_HISTORY
+  }
+
+  /** One event, and how long until the next. */
+  record Step(Event event, int pick, int millis) {}
+
+  @Provide
+  Arbitrary<List<Step>> steps() {
+    Arbitrary<Event> events =
+        Arbitraries.frequencyOf(
+            Tuple.of(2, Arbitraries.of(Event.values())),
+            Tuple.of(1, Arbitraries.of(Event.COME_BACK_OLDER, Event.TAKE_COPY, Event.CONFIGURE)));
+    Arbitrary<Integer> picks = Arbitraries.integers().between(0, 1_000);
+    Arbitrary<Integer> pauses = Arbitraries.integers().between(1, 2_500);
+    return Combinators.combine(events, picks, pauses)
+        .as(Step::new)
+        .list()
+        .ofMinSize(6)
+        .ofMaxSize(24);
+  }
+
+  @Property(tries = 80, seed = "20261204", shrinking = ShrinkingMode.OFF)
+  void nothingFallsAndAllIsFollowed(
+      @ForAll("steps") List<Step> steps,
+      @ForAll @IntRange(min = 2, max = 16) int routers,
+      @ForAll @IntRange(min = 1, max = 3) int zones) {
+    Run run = new Run(new FollowerFleet(routers, zones, steps.size()));
+    run.start();
+    for (Step step : steps) {
+      run.apply(step);
+    }
+    run.end();
+  }
+
+  /** One sequence, with what operator and servers hold to be true. */
+  private static final class Run {
+    private final FollowerFleet fleet;
+    private final Map<Integer, Long> versions = new HashMap<>();
+    private final boolean[] alive = new boolean[KEYS];
+    private long version = 1;
+
+    Run(FollowerFleet fleet) {
+      this.fleet = fleet;
+    }
+
+    void start() {
+      fleet.store.configure(version);
+      for (int key = 0; key < KEYS; key++) {
+        write(key);
+      }
+      fleet.store.takeCopy();
+    }
+
+    private void write(int key) {
+      alive[key] = true;
+      fleet.store.write("key-" + key);
+    }
+
+    private void delete(int key) {
+      alive[key] = false;
+      fleet.store.delete("key-" + key);
+    }
+
+    void apply(Step step) {
+      FollowerFleet.Router router = fleet.routers.get(step.pick() % fleet.routers.size());
+      int key = step.pick() % KEYS;
+      switch (step.event()) {
+        case WRITE -> write(key);
+        case DELETE -> delete(key);
+        case CONFIGURE -> fleet.store.configure(++version);
+        case TAKE_COPY -> fleet.store.takeCopy();
+        case COME_BACK_OLDER -> fleet.store.comeBackOlder();
+        case WRITE_AGAIN -> writeAgain();
+        case REFUSE -> router.access = FollowerFleet.StoreAccess.REFUSED;
+        case LOSE_ANSWERS -> router.access = FollowerFleet.StoreAccess.ANSWERS_LOST;
+        case CUT_FROM_STORE -> router.access = FollowerFleet.StoreAccess.CUT;
+        case CUT_FROM_PEERS -> router.cutFromPeers = true;
+        case MEND -> mendAll();
+        case PAUSE -> router.paused = true;
+        case RESTART -> restart(router);
+        case RESTART_ALL -> fleet.routers.forEach(this::restart);
+        case FORGET_HISTORY -> fleet.store.forgetHistory();
+      }
+      fleet.run(Duration.ofMillis(step.millis()), this::noVersionFalls);
+    }
+
+    private void restart(FollowerFleet.Router router) {
+      router.start();
+      versions.remove(router.number);
+    }
+
+    /** Every writer writes what it holds to be true, and takes away what it does not. */
+    private void writeAgain() {
+      fleet.store.configure(version);
+      for (int key = 0; key < KEYS; key++) {
+        if (alive[key]) {
+          fleet.store.write("key-" + key);
+        } else {
+          fleet.store.delete("key-" + key);
+        }
+      }
+    }
+
+    private void mendAll() {
+      for (FollowerFleet.Router router : fleet.routers) {
+        router.access = FollowerFleet.StoreAccess.SOUND;
+        router.cutFromPeers = false;
+        if (router.paused) {
+          router.wake();
+        }
+      }
+    }
+
+    private void noVersionFalls() {
+      for (FollowerFleet.Router router : fleet.routers) {
+        long held = router.follower.view().configurationVersion();
+        long before = versions.getOrDefault(router.number, 0L);
+        assertThat(held).as("version at router %s", router.number).isGreaterThanOrEqualTo(before);
+        versions.put(router.number, held);
+      }
+    }
+
+    void end() {
+      mendAll();
+      fleet.run(Duration.ofSeconds(1), this::noVersionFalls);
+      writeAgain();
+      int before = fleet.storeCalls;
+      fleet.run(CALM, this::noVersionFalls);
+      for (FollowerFleet.Router router : fleet.routers) {
+        assertThat(router.version).as("version at %s", router.number).isEqualTo(version);
+        assertThat(router.present)
+            .as("keys at router %s", router.number)
+            .isEqualTo(fleet.store.keys());
+        assertThat(router.follower.view().position().era()).isEqualTo(fleet.store.revision().era());
+      }
+      assertThat(fleet.storeCalls - before)
+          .isLessThan(MOST_CALLS_A_ROUTER_IN_CALM * fleet.routers.size());
+    }
+  }
+}
