A server is its id and its birth; entries that no server wrote name none

Ruled out: comparing counts where no birth is stated (they may have begun anew). StoreRevision moves to core/store, since events name it.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/event/RouterEvent.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/event/RouterEvent.java
@@ -1,7 +1,7 @@
 package io.arrowarch.core.event;
 
 import com.google.common.collect.ImmutableList;
-import io.arrowarch.core.feed.StoreRevision;
+import io.arrowarch.core.store.StoreRevision;
 import java.util.List;
 
 /**
@@ -237,7 +237,8 @@
    * States of servers changed in the router's view, by one answer of the store or of another
    * router.
    *
-   * @param status ready, draining, gone
+   * @param status ready, draining, gone; restarted: another process has taken the name; stale: what
+   *     was read was said before what is known
    * @param count how many
    * @param servers the first of them, each as its id and its service
    */
@@ -264,6 +265,35 @@
     }
   }
 
+  /**
+   * An entry of the store is not what its key is for, and names no server to use.
+   *
+   * @param fault one sentence, without anything that was written
+   */
+  record EntryMalformed(String key, StoreRevision revision, String fault) implements RouterEvent {
+    /** A key may be long, and is another writer's choice. */
+    private static final int LONGEST_KEY = 120;
+
+    /** Shortens the key. */
+    public EntryMalformed {
+      key = key.length() > LONGEST_KEY ? key.substring(0, LONGEST_KEY) : key;
+    }
+
+    @Override
+    public String eventName() {
+      return "entry";
+    }
+
+    @Override
+    public void writeTo(EventFields fields) {
+      fields
+          .text("key", key)
+          .whole("era", revision.era())
+          .whole("revision", revision.number())
+          .text("fault", fault);
+    }
+  }
+
   /**
    * The servers of a zone get nothing from now on, or may be used again.
    *
--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/FeedAnswer.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/FeedAnswer.java
@@ -1,6 +1,7 @@
 package io.arrowarch.core.feed;
 
 import com.google.common.collect.ImmutableList;
+import io.arrowarch.core.store.StoreRevision;
 
 /**
  * A page of a listing, or the changes that a watch has seen.
--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/FeedContents.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/FeedContents.java
@@ -1,6 +1,7 @@
 package io.arrowarch.core.feed;
 
 import com.google.common.collect.ImmutableList;
+import io.arrowarch.core.store.StoreRevision;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/FeedEntry.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/FeedEntry.java
@@ -17,10 +17,16 @@
   /** Of no use to a router. */
   record Unknown() implements FeedEntry {}
 
+  /** What the writer of a key would have to write. */
+  enum Kind {
+    CONFIGURATION,
+    SERVER
+  }
+
   /**
-   * Cannot be read.
+   * Is not what its key is for: it says nothing.
    *
-   * @param fault one sentence for operators
+   * @param fault one sentence for operators, without anything that was written
    */
-  record Malformed(String fault) implements FeedEntry {}
+  record Malformed(Kind kind, String fault) implements FeedEntry {}
 }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/FeedItem.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/FeedItem.java
@@ -1,6 +1,7 @@
 package io.arrowarch.core.feed;
 
 import io.arrowarch.core.route.RoutingConfiguration;
+import io.arrowarch.core.store.StoreRevision;
 import java.util.Optional;
 
 /**
--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/FeedListener.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/FeedListener.java
@@ -1,5 +1,7 @@
 package io.arrowarch.core.feed;
 
+import io.arrowarch.core.store.StoreRevision;
+
 /**
  * Told what the store says, in an order in which no key goes back to an earlier revision. Contents
  * may go back where the store came back from an older copy.
--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/ListingProgress.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/ListingProgress.java
@@ -1,5 +1,6 @@
 package io.arrowarch.core.feed;
 
+import io.arrowarch.core.store.StoreRevision;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/StoreFollower.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/StoreFollower.java
@@ -1,6 +1,7 @@
 package io.arrowarch.core.feed;
 
 import io.arrowarch.core.peer.StoreNews;
+import io.arrowarch.core.store.StoreRevision;
 import io.arrowarch.core.time.RouterClock;
 import io.arrowarch.core.time.TimerQueue;
 import java.time.Duration;
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/AttemptSender.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/AttemptSender.java
@@ -217,6 +217,22 @@
     startWaiting(part.service());
   }
 
+  /** Ends the attempts that are open at a server that has ended. */
+  void onServerEnded(String serverId) {
+    List<Long> numbers =
+        sent.entrySet().stream()
+            .filter(entry -> entry.getValue().open().attempt().server().id().equals(serverId))
+            .map(Map.Entry::getKey)
+            .toList();
+    for (long number : numbers) {
+      // One that ends may end others of its request.
+      if (sent.containsKey(number)) {
+        transport.cancel(sent.get(number).open().attempt());
+        onFailure(number, ServerFailure.BROKEN);
+      }
+    }
+  }
+
   private void onSilent(long number, ServerAttempt attempt) {
     if (sent.containsKey(number)) {
       transport.cancel(attempt);
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
@@ -339,6 +339,11 @@
     sender.onFailure(attempt, failure);
   }
 
+  /** A server has ended, by the directory: what is open there gets no answer. */
+  void onServerEnded(String serverId) {
+    sender.onServerEnded(serverId);
+  }
+
   private ForwardHandle run(
       ForwardedRequest request,
       Route route,
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardingRouter.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardingRouter.java
@@ -8,12 +8,11 @@
 import io.arrowarch.core.feed.FeedListener;
 import io.arrowarch.core.feed.FeedTransport;
 import io.arrowarch.core.feed.StoreFollower;
-import io.arrowarch.core.feed.StoreRevision;
 import io.arrowarch.core.route.RoutingConfiguration;
 import io.arrowarch.core.route.ServiceSettings;
 import io.arrowarch.core.server.ServerDirectory;
-import io.arrowarch.core.server.ServerEntry;
 import io.arrowarch.core.server.ServerState;
+import io.arrowarch.core.store.StoreRevision;
 import io.arrowarch.core.time.RouterClock;
 import io.arrowarch.core.time.TimerQueue;
 import io.vavr.control.Either;
@@ -46,12 +45,12 @@
   private static final int LAST_RESORT_DIVISOR = 2;
 
   private final ServerDirectory directory;
-  private final Map<String, ServerEntry> entriesByKey = new HashMap<>();
   private final Map<String, String> evacuatedZonesByKey = new HashMap<>();
-  private final ServerChangeLog serverChanges;
+  private final ServerFeed serverFeed;
   private final StoreFollower follower;
   private final ForwardCoordinator coordinator;
   private boolean stopping;
+  private long malformedEntries;
 
   /**
    * Creates a router that knows nothing yet.
@@ -71,7 +70,6 @@
     this.timers = timers;
     this.events = events;
     this.group = group;
-    this.serverChanges = new ServerChangeLog(events);
     this.directory = new ServerDirectory(options.store().apply().dividedBy(LAST_RESORT_DIVISOR));
     this.follower =
         new StoreFollower(
@@ -93,6 +91,8 @@
             events,
             group,
             () -> follower.view().age());
+    this.serverFeed =
+        new ServerFeed(directory, clock, events, server -> coordinator.onServerEnded(server));
   }
 
   /** Starts to read the store. */
@@ -131,6 +131,11 @@
     return directory;
   }
 
+  /** Entries of the store that were not what their keys are for, since the start. */
+  public long malformedEntries() {
+    return malformedEntries;
+  }
+
   /** The configuration in force. */
   public Optional<RoutingConfiguration> configuration() {
     return coordinator.configuration();
@@ -178,10 +183,23 @@
     if (entry instanceof FeedEntry.Configuration written) {
       onConfiguration(written.configuration(), revision);
     } else if (entry instanceof FeedEntry.Server written) {
-      onServer(key, written.entry(), revision);
+      // The first listing has one line in all: hundreds would take a good part of a start.
+      boolean isLogged = follower.view().isComplete();
+      long sinceNanos = follower.view().changedSinceNanos();
+      serverFeed.onWritten(key, written.entry(), sinceNanos, revision, isLogged);
     } else if (entry instanceof FeedEntry.Evacuation written) {
       onEvacuation(key, written.zone(), revision);
     } else if (entry instanceof FeedEntry.Malformed malformed) {
+      onMalformed(key, malformed, revision);
+    }
+  }
+
+  private void onMalformed(String key, FeedEntry.Malformed malformed, StoreRevision revision) {
+    malformedEntries++;
+    events.log(new RouterEvent.EntryMalformed(key, revision, malformed.fault()));
+    if (malformed.kind() == FeedEntry.Kind.SERVER) {
+      serverFeed.onMalformed(key, revision);
+    } else {
       events.log(
           new RouterEvent.ConfigurationChanged(0, revision, "unreadable", malformed.fault(), 0));
     }
@@ -189,11 +207,7 @@
 
   @Override
   public void onDeleted(String key, StoreRevision revision) {
-    ServerEntry entry = entriesByKey.remove(key);
-    if (entry != null
-        && directory.onGone(entry.id(), follower.view().deletedSinceNanos(), clock.nanoTime())) {
-      serverChanges.add(entry, "gone", revision);
-    }
+    serverFeed.onGone(key, follower.view().deletedSinceNanos(), revision);
     String zone = evacuatedZonesByKey.remove(key);
     if (zone != null && directory.onEvacuationEnded(zone, this::warmUpOf, clock.nanoTime())) {
       events.log(new RouterEvent.ZoneChanged(zone, "returned", revision));
@@ -202,7 +216,7 @@
 
   @Override
   public void onAnswerTold() {
-    serverChanges.write();
+    serverFeed.onAnswerTold();
   }
 
   @Override
@@ -279,16 +293,6 @@
     }
   }
 
-  private void onServer(String key, ServerEntry entry, StoreRevision revision) {
-    entriesByKey.put(key, entry);
-    boolean changed =
-        directory.onEntry(entry, follower.view().changedSinceNanos(), clock.nanoTime());
-    // The first listing has one line in all: hundreds would take a good part of a start.
-    if (changed && (follower.view().isComplete() || entry.draining())) {
-      serverChanges.add(entry, entry.draining() ? "draining" : "ready", revision);
-    }
-  }
-
   private void logStore(String state, String reason, StoreRevision revision) {
     long known = directory.all().stream().map(ServerState::status).count();
     events.log(new RouterEvent.StoreChanged(state, reason, revision, (int) known));
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ServerChangeLog.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ServerChangeLog.java
@@ -2,8 +2,8 @@
 
 import io.arrowarch.core.event.EventLog;
 import io.arrowarch.core.event.RouterEvent;
-import io.arrowarch.core.feed.StoreRevision;
 import io.arrowarch.core.server.ServerEntry;
+import io.arrowarch.core.store.StoreRevision;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
--- a/arrowarch-core/src/main/java/io/arrowarch/core/peer/StoreNews.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/peer/StoreNews.java
@@ -1,6 +1,6 @@
 package io.arrowarch.core.peer;
 
-import io.arrowarch.core.feed.StoreRevision;
+import io.arrowarch.core.store.StoreRevision;
 
 /**
  * What a router tells others of the platform's store.
--- a/arrowarch-core/src/main/java/io/arrowarch/core/server/ServerDirectory.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/server/ServerDirectory.java
@@ -79,6 +79,11 @@
     return true;
   }
 
+  /** Notes that a server has ended, since its place has started again. */
+  public void onRestarted(String id, long nowNanos) {
+    find(id).ifPresent(server -> server.onRestarted(nowNanos));
+  }
+
   /** Notes that a server says itself, or to another router, that it is leaving. */
   public void onDraining(String id, long nowNanos) {
     find(id).ifPresent(server -> server.onDraining(nowNanos));
--- a/arrowarch-core/src/main/java/io/arrowarch/core/server/ServerState.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/server/ServerState.java
@@ -169,6 +169,11 @@
     }
   }
 
+  /** Notes that another process has taken its name: it is gone for good. */
+  void onRestarted(long nowNanos) {
+    setStatus(ServerStatus.REPLACED, nowNanos);
+  }
+
   /** Notes that it says itself that it is leaving. */
   void onDraining(long nowNanos) {
     if (status == ServerStatus.READY) {
--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/StoreRevision.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/store/StoreRevision.java
@@ -1,4 +1,4 @@
-package io.arrowarch.core.feed;
+package io.arrowarch.core.store;
 
 import java.util.Comparator;
 
--- a/arrowarch-core/src/test/java/io/arrowarch/core/feed/ChangeDatesTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/feed/ChangeDatesTest.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 import io.arrowarch.core.FakeClock;
+import io.arrowarch.core.store.StoreRevision;
 import io.arrowarch.core.time.TimerQueue;
 import java.time.Duration;
 import java.util.Optional;
--- a/arrowarch-core/src/test/java/io/arrowarch/core/feed/OlderStoreFollowerTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/feed/OlderStoreFollowerTest.java
@@ -7,6 +7,7 @@
 import io.arrowarch.core.peer.StoreNews;
 import io.arrowarch.core.route.CallerLimits;
 import io.arrowarch.core.route.RoutingConfiguration;
+import io.arrowarch.core.store.StoreRevision;
 import io.arrowarch.core.tenant.Tenants;
 import java.time.Duration;
 import java.util.List;
--- a/arrowarch-core/src/test/java/io/arrowarch/core/feed/StoreFollowerFixture.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/feed/StoreFollowerFixture.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import io.arrowarch.core.FakeClock;
+import io.arrowarch.core.store.StoreRevision;
 import io.arrowarch.core.time.TimerQueue;
 import java.time.Duration;
 import java.util.ArrayDeque;
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/FreshnessTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/FreshnessTest.java
@@ -2,7 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.arrowarch.core.feed.StoreRevision;
+import io.arrowarch.core.store.StoreRevision;
 import java.time.Duration;
 import org.testng.annotations.Test;
 
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/RouterPeersTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/RouterPeersTest.java
@@ -4,11 +4,11 @@
 
 import io.arrowarch.core.FakeClock;
 import io.arrowarch.core.event.EventLog;
-import io.arrowarch.core.feed.StoreRevision;
 import io.arrowarch.core.peer.MemberRecord;
 import io.arrowarch.core.peer.PeerBody;
 import io.arrowarch.core.peer.PeerMessage;
 import io.arrowarch.core.peer.StoreNews;
+import io.arrowarch.core.store.StoreRevision;
 import io.arrowarch.core.time.TimerQueue;
 import java.time.Duration;
 import java.util.ArrayList;
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/FeedCodec.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/FeedCodec.java
@@ -2,7 +2,7 @@
 
 import io.arrowarch.core.feed.FeedAnswer;
 import io.arrowarch.core.feed.FeedFailure;
-import io.arrowarch.core.feed.StoreRevision;
+import io.arrowarch.core.store.StoreRevision;
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.Optional;
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/FeedServer.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/FeedServer.java
@@ -4,7 +4,7 @@
 import com.google.common.primitives.Longs;
 import io.arrowarch.core.feed.FeedAnswer;
 import io.arrowarch.core.feed.StoreFollower;
-import io.arrowarch.core.feed.StoreRevision;
+import io.arrowarch.core.store.StoreRevision;
 import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/FollowedRevisions.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/FollowedRevisions.java
@@ -1,9 +1,9 @@
 package io.arrowarch.node.forward;
 
 import io.arrowarch.core.feed.StoreFollower;
-import io.arrowarch.core.feed.StoreRevision;
 import io.arrowarch.core.forward.RouterPeers;
 import io.arrowarch.core.peer.StoreNews;
+import io.arrowarch.core.store.StoreRevision;
 import java.time.Duration;
 import java.util.function.Supplier;
 
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/NodeGauges.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/NodeGauges.java
@@ -38,6 +38,8 @@
         "arrowarch.suspects.refused", router, node -> node.coordinator().suspects().refused());
     metrics.gauge(
         "arrowarch.zones.evacuated", router, node -> node.directory().evacuatedZones().size());
+    metrics.gauge("arrowarch.store.era", router, node -> node.follower().view().position().era());
+    metrics.gauge("arrowarch.entries.malformed", router, ForwardingRouter::malformedEntries);
     metrics.gauge("arrowarch.ready", router, node -> node.isReady() ? 1 : 0);
     metrics.gauge(
         "arrowarch.requests.in.progress", router, node -> node.coordinator().inProgress());
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/StoreClient.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/StoreClient.java
@@ -4,7 +4,7 @@
 import io.arrowarch.core.feed.FeedFailure;
 import io.arrowarch.core.feed.FeedTransport;
 import io.arrowarch.core.feed.StoreFollower;
-import io.arrowarch.core.feed.StoreRevision;
+import io.arrowarch.core.store.StoreRevision;
 import io.arrowarch.node.BoundedBody;
 import io.arrowarch.node.EventLoopDriver;
 import io.arrowarch.node.PeerEndpoint;
--- a/arrowarch-node/src/test/java/io/arrowarch/node/forward/StreamingPeerCodecTest.java
+++ b/arrowarch-node/src/test/java/io/arrowarch/node/forward/StreamingPeerCodecTest.java
@@ -3,12 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.arrowarch.core.config.ConfigurationId;
-import io.arrowarch.core.feed.StoreRevision;
 import io.arrowarch.core.peer.DrainMark;
 import io.arrowarch.core.peer.MemberRecord;
 import io.arrowarch.core.peer.PeerBody;
 import io.arrowarch.core.peer.PeerMessage;
 import io.arrowarch.core.peer.StoreNews;
+import io.arrowarch.core.store.StoreRevision;
 import io.arrowarch.node.DataBindingPeerCodec;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
