--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/StoreFollower.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/StoreFollower.java
@@ -49,7 +49,7 @@
   private final boolean confirmsItself;
   private final FollowerTimes times;
   private final StoreView view;
-  private final PeerListingCalls peerListings;
+  private final PeerListings peerListings;
   private final ListingProgress listing = new ListingProgress();
   private Optional<String> followed = Optional.empty();
   private long currentCall;
@@ -62,7 +62,6 @@
   private boolean failedSinceWatch;
   private int failures;
   private boolean everAnswered;
-  private boolean checkingVersion;
   private long startNanos;
 
   /**
@@ -87,8 +86,8 @@
     this.source = source;
     this.confirmsItself = bounds.everyView();
     this.times = new FollowerTimes(bounds);
-    this.peerListings = new PeerListingCalls(clock);
     this.view = new StoreView(clock, listener, times.pause().plus(ChangeDates.PROMPT_ANSWER));
+    this.peerListings = new PeerListings(transport, clock, timers, view);
   }
 
   /** Starts with the listing of another router where one is known and has it, else of the store. */
@@ -106,7 +105,7 @@
     boolean early = clock.nanoTime() - startNanos < TIME_FOR_PEERS_AT_START.toNanos();
     if (router.isPresent() && early) {
       awaitsPeerListing = true;
-      listFromPeer(router.get());
+      peerListings.ask(router.get());
     } else {
       list(Optional.empty());
     }
@@ -136,7 +135,7 @@
    */
   public void onPeerNews(StoreNews news, String address, boolean near) {
     onPeerRevision(news.newest(), address, near);
-    onPeerVersion(news.configurationVersion(), address);
+    peerListings.onPeerVersion(news.configurationVersion(), address);
   }
 
   /**
@@ -152,7 +151,7 @@
     if (failures > 0) {
       boolean patient = view.onBehind().compareTo(PATIENCE_FOR_NEAR_PEERS) < 0;
       if (near || !view.isComplete() || !patient) {
-        askPeer(address);
+        peerListings.askUnlessLately(address);
       }
     } else if (watching && !checkingBehind) {
       checkingBehind = true;
@@ -180,38 +179,6 @@
     }
   }
 
-  /**
-   * Hears which version of the configuration another router holds. A copy of the store that was
-   * listed here may lack it.
-   *
-   * @param address of the other router, IP:PORT for peers
-   */
-  private void onPeerVersion(long version, String address) {
-    if (checkingVersion || !view.isComplete() || version <= view.configurationVersion()) {
-      return;
-    }
-    checkingVersion = true;
-    schedule(
-        BEHIND_SLACK.toNanos(),
-        () -> {
-          checkingVersion = false;
-          if (version > view.configurationVersion()) {
-            askPeer(address);
-          }
-        });
-  }
-
-  private void askPeer(String address) {
-    if (!peerListings.madeLately()) {
-      listFromPeer(address);
-    }
-  }
-
-  private void listFromPeer(String address) {
-    peerListings.onAsked();
-    transport.listFromPeer(address);
-  }
-
   /**
    * Takes what another router holds; ignored when this one has read as much itself.
    *
@@ -331,7 +298,7 @@
   private void onLookoutFailed(String lookout, FeedFailure failure) {
     if (failure == FeedFailure.HISTORY_GONE) {
       awaitsPeerListing = true;
-      listFromPeer(lookout);
+      peerListings.ask(lookout);
       return;
     }
     source.onFailed(lookout);
