--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/StoreFollower.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/StoreFollower.java
@@ -180,7 +180,7 @@
         watch();
       } else {
         // A watch from a number that the new era has not reached may wait for long.
-        list(Optional.empty());
+        onGap();
       }
     }
   }
@@ -366,6 +366,7 @@
     }
     followed = Optional.empty();
     gapSinceNanos = Optional.empty();
+    awaitsPeerListing = false;
     calling = true;
     transport.list(++currentCall, afterKey, LIST_TIMEOUT);
   }
--- a/arrowarch-core/src/test/java/io/arrowarch/core/feed/OlderStoreFollowerTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/feed/OlderStoreFollowerTest.java
@@ -253,6 +253,24 @@
     assertThat(listener.lines).endsWith("-b@2.60");
   }
 
+  @Test
+  public void whoIsNoLookoutAsksOneAfterAGapAndTheStoreASecondLater() {
+    lookout = false;
+    tell(in(1, 100), written("a", in(1, 10)));
+    lookouts.add(PEER);
+    fail(FeedFailure.HISTORY_GONE);
+    assertThat(transport.last()).isEqualTo("list from " + PEER);
+    // That one has not listed the new era yet, and then gives no answer in time.
+    follower.onPeerListing(answer(in(1, 100)), Optional.of(Duration.ZERO));
+    pass(Duration.ofMillis(100));
+    assertThat(transport.calls.stream().filter(("list from " + PEER)::equals)).hasSize(2);
+    pass(StoreFollower.TIME_FOR_PEERS);
+    assertThat(transport.last()).isEqualTo("list");
+    follower.onPeerListingFailed();
+
+    assertThat(transport.calls.stream().filter("list"::equals)).hasSize(2);
+  }
+
   @Test
   public void followersOfAnotherEraAreToldThatTheirHistoryIsGone() {
     tell(in(2, 60), written("a", in(2, 10)));
