Tests: a configuration of which only the version matters is made in one place

Change: EmptyConfiguration. No check differs. Figures: OlderStore*, Freshness* and CorePurityTest green.

--- a/arrowarch-core/src/test/java/io/arrowarch/core/feed/OlderStoreFollowerTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/feed/OlderStoreFollowerTest.java
@@ -3,12 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
+import io.arrowarch.core.EmptyConfiguration;
 import io.arrowarch.core.peer.StoreNews;
-import io.arrowarch.core.route.CallerLimits;
-import io.arrowarch.core.route.RoutingConfiguration;
 import io.arrowarch.core.store.StoreRevision;
-import io.arrowarch.core.tenant.Tenants;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -34,15 +31,11 @@
   }
 
   private static FeedItem configuration(long version, StoreRevision revision) {
-    RoutingConfiguration configuration =
-        new RoutingConfiguration(
-            version,
-            ImmutableList.of(),
-            ImmutableMap.of(),
-            CallerLimits.DEFAULT,
-            new Tenants(ImmutableList.of()));
-    FeedEntry entry = new FeedEntry.Configuration(configuration);
-    return new FeedItem("config", revision, Optional.of(entry), "version " + version);
+    return new FeedItem(
+        "config",
+        revision,
+        Optional.of(EmptyConfiguration.ofVersion(version)),
+        "version " + version);
   }
 
   private static FeedAnswer answer(StoreRevision revision, FeedItem... items) {
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/FakeStore.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/FakeStore.java
@@ -1,15 +1,12 @@
 package io.arrowarch.core.forward;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
+import io.arrowarch.core.EmptyConfiguration;
 import io.arrowarch.core.FakeClock;
 import io.arrowarch.core.feed.FeedAnswer;
 import io.arrowarch.core.feed.FeedEntry;
 import io.arrowarch.core.feed.FeedItem;
-import io.arrowarch.core.route.CallerLimits;
-import io.arrowarch.core.route.RoutingConfiguration;
 import io.arrowarch.core.store.StoreRevision;
-import io.arrowarch.core.tenant.Tenants;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -52,14 +49,7 @@
   }
 
   void configure(long version) {
-    RoutingConfiguration configuration =
-        new RoutingConfiguration(
-            version,
-            ImmutableList.of(),
-            ImmutableMap.of(),
-            CallerLimits.DEFAULT,
-            new Tenants(ImmutableList.of()));
-    Optional<FeedEntry> entry = Optional.of(new FeedEntry.Configuration(configuration));
+    Optional<FeedEntry> entry = Optional.of(EmptyConfiguration.ofVersion(version));
     FeedItem item = new FeedItem(CONFIGURATION, next(), entry, "version " + version);
     items.put(item.key(), item);
     changes.add(new Change(clock.nanoTime(), item));
