Logs: whom a router follows, and how old its view was when it refused a path

Of a request refused as unknown-path a router's log told the version in force but not whether the router had heard anything since: with that alone a router that is behind and a caller that asks for nothing look alike. A store line 'follows' names the lookout or the store, one a change; the refusal states the age of the view. No decision changes.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/event/RouterEvent.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/event/RouterEvent.java
@@ -34,6 +34,8 @@
    * @param error name of the error kind; empty for a success
    * @param reason why it ended now
    * @param version of the configuration that it was handled by; 0 without one
+   * @param viewAgeMs how old the view of the store was by which it was refused; -1 where it was not
+   *     refused before it ran, or nothing was known
    * @param missing parts that are not in the answer, with what was tried for them
    */
   record RequestEnded(
@@ -50,6 +52,7 @@
       int extraAttempts,
       double elapsedMs,
       double leftMs,
+      double viewAgeMs,
       List<MissingPart> missing)
       implements RouterEvent {
     /** Copies the list. */
@@ -83,6 +86,7 @@
           .whole("extraAttempts", extraAttempts)
           .number("elapsedMs", elapsedMs)
           .number("leftMs", leftMs)
+          .number("viewAgeMs", viewAgeMs)
           .objects("missing", missing, MissingPart::writeTo);
     }
   }
@@ -336,7 +340,11 @@
     }
   }
 
-  /** The store was lost, regained or listed anew. */
+  /**
+   * The store was lost, regained or listed anew, or is followed elsewhere.
+   *
+   * @param reason why; for {@code follows} where changes are heard from now on
+   */
   record StoreChanged(String state, String reason, StoreRevision revision, int servers)
       implements RouterEvent {
     @Override
--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/FeedListener.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/FeedListener.java
@@ -1,6 +1,7 @@
 package io.arrowarch.core.feed;
 
 import io.arrowarch.core.store.StoreRevision;
+import java.util.Optional;
 
 /**
  * Told what the store says, in an order in which no key goes back to an earlier revision. Contents
@@ -19,6 +20,13 @@
   /** Everything that the store holds has been told once, at the first time and after each gap. */
   void onListed(StoreRevision revision);
 
+  /**
+   * Changes are heard from elsewhere from now on.
+   *
+   * @param lookout the router that is followed, as IP:PORT for peers; empty: the store itself
+   */
+  void onSource(Optional<String> lookout);
+
   /** The store gave no answer, after it had. */
   void onLost(FeedFailure failure);
 
--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/StoreFollower.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/StoreFollower.java
@@ -52,6 +52,10 @@
   private final PeerListings peerListings;
   private final ListingProgress listing = new ListingProgress();
   private Optional<String> followed = Optional.empty();
+
+  /** Where changes are heard, as the listener knows it. */
+  private Optional<String> told = Optional.empty();
+
   private long currentCall;
   private long callStartNanos;
   private Duration callWait = Duration.ZERO;
@@ -376,7 +380,7 @@
     watching = true;
     callStartNanos = clock.nanoTime();
     StoreRevision after = view.position();
-    followed = source.isLookout() ? Optional.empty() : source.lookoutToFollow();
+    follow(source.isLookout() ? Optional.empty() : source.lookoutToFollow());
     if (followed.isPresent()) {
       Duration wait = times.peerWait();
       Duration timeout = wait.plus(FollowerTimes.PEER_ANSWER_SLACK);
@@ -388,6 +392,14 @@
     transport.watch(++currentCall, after, callWait, timeout);
   }
 
+  private void follow(Optional<String> lookout) {
+    followed = lookout;
+    if (!lookout.equals(told)) {
+      told = lookout;
+      listener.onSource(lookout);
+    }
+  }
+
   private Duration waitAtStore() {
     if (confirms()) {
       return times.confirmingWait(view.age());
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
@@ -89,7 +89,7 @@
     this.directory = directory;
     this.events = events;
     this.startNanos = clock.nanoTime();
-    this.refusals = new Refusals(this::versionInForce, random, events);
+    this.refusals = new Refusals(this::versionInForce, viewAge, random, events);
     this.held = new HeldRequests(clock, timers, options.maximumRequests(), this::refuseHeld);
     this.layout = new SearchLayout(group::count, options.has(Mechanism.DELEGATION));
     this.gatherers = new Gatherers(options, group, layout, new ZoneCoverage(directory), clock);
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardingRouter.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardingRouter.java
@@ -225,6 +225,11 @@
     logStore("listed", "", revision);
   }
 
+  @Override
+  public void onSource(Optional<String> lookout) {
+    logStore("follows", lookout.orElse("the store"), follower.view().position());
+  }
+
   @Override
   public void onLost(FeedFailure failure) {
     coordinator.onStoreLost();
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/Refusals.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/Refusals.java
@@ -10,13 +10,18 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 /** Refuses requests of which nothing has been sent: they have not run. */
 final class Refusals {
   private static final Duration BASE_RETRY_AFTER = Duration.ofMillis(150);
 
+  private static final double NANOS_PER_MILLI = 1e6;
+  private static final double UNKNOWN_AGE = -1;
+
   private final LongSupplier version;
+  private final Supplier<Optional<Duration>> viewAge;
   private final RandomGenerator random;
   private final EventLog events;
 
@@ -24,9 +29,15 @@
    * Creates refusals.
    *
    * @param version of the configuration in force; 0 without one
+   * @param viewAge how old the router's view of the store may be
    */
-  Refusals(LongSupplier version, RandomGenerator random, EventLog events) {
+  Refusals(
+      LongSupplier version,
+      Supplier<Optional<Duration>> viewAge,
+      RandomGenerator random,
+      EventLog events) {
     this.version = version;
+    this.viewAge = viewAge;
     this.random = random;
     this.events = events;
   }
@@ -66,6 +77,7 @@
             0,
             0,
             0,
+            viewAgeMillis(),
             List.of()));
     QueryError error = QueryError.of(kind, detail);
     sink.accept(
@@ -74,6 +86,10 @@
     return ForwardHandle.NONE;
   }
 
+  private double viewAgeMillis() {
+    return viewAge.get().map(age -> age.toNanos() / NANOS_PER_MILLI).orElse(UNKNOWN_AGE);
+  }
+
   private Duration usual() {
     return BASE_RETRY_AFTER.plusMillis(random.nextLong(BASE_RETRY_AFTER.toMillis()));
   }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/RequestLog.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/RequestLog.java
@@ -10,6 +10,9 @@
 final class RequestLog {
   private static final double NANOS_PER_MILLI = 1e6;
 
+  /** No age of a view: the request was not refused by it. */
+  private static final double NOT_REFUSED = -1;
+
   private final ForwardedRequest request;
   private final Route route;
   private final long version;
@@ -83,6 +86,7 @@
             Math.max(0, sent - asked),
             elapsedMillis(nowNanos),
             leftMillis(nowNanos),
+            NOT_REFUSED,
             tally.describeMissing(nowNanos)));
   }
 
--- a/arrowarch-core/src/test/java/io/arrowarch/core/feed/RecordingFeedListener.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/feed/RecordingFeedListener.java
@@ -3,11 +3,15 @@
 import io.arrowarch.core.store.StoreRevision;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 /** What a follower tells, a line each. */
 final class RecordingFeedListener implements FeedListener {
   final List<String> lines = new ArrayList<>();
 
+  /** Where changes were heard, one entry a change. */
+  final List<String> sources = new ArrayList<>();
+
   /** The number, after its era where the store has come back older. */
   static String text(StoreRevision revision) {
     return (revision.era() == 0 ? "" : revision.era() + ".") + revision.number();
@@ -31,6 +35,11 @@
     lines.add("listed@" + text(revision));
   }
 
+  @Override
+  public void onSource(Optional<String> lookout) {
+    sources.add(lookout.orElse("store"));
+  }
+
   @Override
   public void onLost(FeedFailure failure) {
     lines.add("lost");
--- a/arrowarch-core/src/test/java/io/arrowarch/core/feed/StoreFollowerFreshnessTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/feed/StoreFollowerFreshnessTest.java
@@ -114,6 +114,19 @@
     assertThat(transport.last()).isEqualTo("watch 10.0.0.3:7400 after 100");
   }
 
+  @Test
+  public void whereChangesAreHeardIsToldWheneverThatChanges() {
+    lookout = false;
+    lookouts.add(PEER);
+    lookouts.add("10.0.0.3:7400");
+    answer(100, false);
+    peerAnswers(Optional.of(Duration.ZERO), 101, written("a", 101));
+    fail(FeedFailure.NO_ANSWER);
+    fail(FeedFailure.UNAVAILABLE);
+
+    assertThat(listener.sources).containsExactly(PEER, "10.0.0.3:7400", "store");
+  }
+
   @Test
   public void aLookoutThatOthersFollowConfirmsItsViewClosely() {
     isFollowed = true;
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/FollowerFleet.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/FollowerFleet.java
@@ -362,6 +362,9 @@
     @Override
     public void onListed(StoreRevision revision) {}
 
+    @Override
+    public void onSource(Optional<String> lookout) {}
+
     @Override
     public void onLost(FeedFailure failure) {}
 
