Tests, red: routers stay behind after the store was silent; a soak of a fleet

Callers were served by services that a newer version had replaced, and refused routes that it had added, for seconds after the bound.

The soak has what the others lack: three zones with two large machines each, so that most routers follow lookouts, contacts in each zone, and outages that are longer than a lookout's patience. A silent stand-in now also leaves the watches that wait without an answer. The property holds every router that nothing has happened to for the bound to each version acknowledged before.

--- /dev/null
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/ConfigurationInForceProperties.java
@@ -0,0 +1,206 @@
+package io.arrowarch.core.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.Tuple;
+import net.jqwik.api.constraints.IntRange;
+
+/**
+ * Large zones, where most routers follow lookouts and no view need be confirmed closely: whatever
+ * happens to other routers, one that has itself been left alone for the bound, at a store that has
+ * been left alone for as long, has every version in force that was acknowledged longer ago than the
+ * bound.
+ */
+class ConfigurationInForceProperties {
+  private static final Duration START = Duration.ofSeconds(8);
+  private static final Duration CALM = Duration.ofSeconds(8);
+
+  enum Event {
+    CONFIGURE,
+    STORM,
+    REFUSE,
+    LOSE_ANSWERS,
+    CUT_FROM_STORE,
+    CUT_FROM_PEERS,
+    MEND,
+    PAUSE,
+    RESTART,
+    RESTART_MANY,
+    FORGET_HISTORY,
+    SILENCE_ALL_CONNECTIONS,
+    STORE_AWAY
+  }
+
+  /** One event at one router or more, and how long until the next. */
+  record Step(Event event, int pick, int count, int millis) {}
+
+  @Provide
+  Arbitrary<List<Step>> steps() {
+    Arbitrary<Event> events =
+        Arbitraries.frequencyOf(
+            Tuple.of(2, Arbitraries.of(Event.values())),
+            Tuple.of(1, Arbitraries.of(Event.CONFIGURE)));
+    Arbitrary<Integer> picks = Arbitraries.integers().between(0, 1_000);
+    Arbitrary<Integer> counts = Arbitraries.integers().between(1, 12);
+    Arbitrary<Integer> pauses = Arbitraries.integers().between(1, 4_000);
+    return Combinators.combine(events, picks, counts, pauses)
+        .as(Step::new)
+        .list()
+        .ofMinSize(6)
+        .ofMaxSize(24);
+  }
+
+  @Property(tries = 200, seed = "20261205", shrinking = ShrinkingMode.OFF)
+  void whatWasAcknowledgedIsInForceWhereNothingIsAmiss(
+      @ForAll("steps") List<Step> steps,
+      @ForAll @IntRange(min = 6, max = 42) int routers,
+      @ForAll @IntRange(min = 1, max = 3) int zones) {
+    Run run = new Run(new FollowerFleet(routers, zones, steps.size(), false));
+    run.start();
+    for (Step step : steps) {
+      run.apply(step);
+    }
+    run.end();
+  }
+
+  /** A version, and when the store took it. */
+  private record Acknowledged(long version, long nanos) {}
+
+  /** One sequence, with what each router may be excused for. */
+  private static final class Run {
+    private final FollowerFleet fleet;
+    private final long[] disturbedNanos;
+    private final List<Acknowledged> acknowledged = new ArrayList<>();
+    private long storeDisturbedNanos;
+    private boolean storeAway;
+    private long version;
+
+    Run(FollowerFleet fleet) {
+      this.fleet = fleet;
+      this.disturbedNanos = new long[fleet.routers.size()];
+    }
+
+    void start() {
+      Arrays.fill(disturbedNanos, fleet.clock.nanoTime());
+      storeDisturbedNanos = fleet.clock.nanoTime();
+      configure();
+      fleet.run(START, this::check);
+    }
+
+    private void configure() {
+      fleet.store.configure(++version);
+      acknowledged.add(new Acknowledged(version, fleet.clock.nanoTime()));
+    }
+
+    void apply(Step step) {
+      if (step.event() == Event.STORE_AWAY) {
+        storeAway = true;
+        fleet.routers.forEach(
+            router ->
+                router.access =
+                    step.pick() % 2 == 0
+                        ? FollowerFleet.StoreAccess.CUT
+                        : FollowerFleet.StoreAccess.REFUSED);
+      }
+      for (int i = 0; i < step.count(); i++) {
+        int number = (step.pick() + i * 7) % fleet.routers.size();
+        apply(step.event(), fleet.routers.get(number), i == 0);
+      }
+      fleet.run(Duration.ofMillis(step.millis()), this::check);
+    }
+
+    private void apply(Event event, FollowerFleet.Router router, boolean first) {
+      switch (event) {
+        case CONFIGURE -> {
+          if (first) {
+            configure();
+          }
+        }
+        case STORM -> configure();
+        case REFUSE -> router.access = FollowerFleet.StoreAccess.REFUSED;
+        case LOSE_ANSWERS -> router.access = FollowerFleet.StoreAccess.ANSWERS_LOST;
+        case CUT_FROM_STORE -> router.access = FollowerFleet.StoreAccess.CUT;
+        case CUT_FROM_PEERS -> router.cutFromPeers = true;
+        case MEND -> mendAll();
+        case PAUSE -> router.paused = true;
+        case RESTART, RESTART_MANY -> {
+          if (first || event == Event.RESTART_MANY) {
+            router.start();
+            disturb(router);
+          }
+        }
+        case FORGET_HISTORY -> {
+          configure();
+          fleet.store.forgetHistory();
+          storeDisturbedNanos = fleet.clock.nanoTime();
+        }
+        case SILENCE_ALL_CONNECTIONS -> {
+          fleet.routers.forEach(FollowerFleet.Router::silenceConnections);
+          fleet.routers.forEach(this::disturb);
+        }
+        case STORE_AWAY -> {}
+      }
+    }
+
+    private void disturb(FollowerFleet.Router router) {
+      disturbedNanos[router.number] = fleet.clock.nanoTime();
+    }
+
+    private void mendAll() {
+      storeAway = false;
+      for (FollowerFleet.Router router : fleet.routers) {
+        router.access = FollowerFleet.StoreAccess.SOUND;
+        router.cutFromPeers = false;
+        if (router.paused) {
+          router.wake();
+        }
+      }
+    }
+
+    private void check() {
+      long nowNanos = fleet.clock.nanoTime();
+      if (storeAway) {
+        storeDisturbedNanos = nowNanos;
+      }
+      for (FollowerFleet.Router router : fleet.routers) {
+        if (router.paused
+            || router.cutFromPeers
+            || router.access != FollowerFleet.StoreAccess.SOUND) {
+          disturb(router);
+        }
+        long calmSince = Math.max(disturbedNanos[router.number], storeDisturbedNanos);
+        if (nowNanos - calmSince > FollowerFleet.BOUND.toNanos()) {
+          assertThat(router.version)
+              .as("version at router %s after %s", router.number, Duration.ofNanos(nowNanos))
+              .isGreaterThanOrEqualTo(due(nowNanos));
+        }
+      }
+    }
+
+    private long due(long nowNanos) {
+      long due = 0;
+      for (Acknowledged taken : acknowledged) {
+        if (nowNanos - taken.nanos() > FollowerFleet.BOUND.toNanos()) {
+          due = taken.version();
+        }
+      }
+      return due;
+    }
+
+    void end() {
+      mendAll();
+      fleet.run(CALM, this::check);
+    }
+  }
+}
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/FollowerFleet.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/FollowerFleet.java
@@ -45,14 +45,26 @@
   private final TimerQueue world = new TimerQueue();
   private final Random random;
   private final int zones;
+  private final boolean everyView;
   int storeCalls;
 
   /** Those of them that read a page of a listing. */
   int listingCalls;
 
+  /** A fleet each of whose views must be fresh. */
   FollowerFleet(int size, int zones, long seed) {
+    this(size, zones, seed, true);
+  }
+
+  /**
+   * Creates and starts a fleet.
+   *
+   * @param everyView whether each view must be fresh, or only those that others follow
+   */
+  FollowerFleet(int size, int zones, long seed, boolean everyView) {
     this.random = new Random(seed);
     this.zones = zones;
+    this.everyView = everyView;
     for (int number = 0; number < size; number++) {
       routers.add(new Router(number));
     }
@@ -84,6 +96,9 @@
     /** The version that it has in force: never an older one than before. */
     long version;
 
+    /** Answers to calls that began before are lost. */
+    private long silentUntilNanos = Long.MIN_VALUE;
+
     private final List<Runnable> unread = new ArrayList<>();
     private final MachineClock machine = new MachineClock(clock);
     private TimerQueue timers = new TimerQueue();
@@ -117,13 +132,22 @@
               server -> {},
               new Revisions(),
               message -> {});
-      FeedBounds bounds = new FeedBounds(Duration.ofSeconds(5), BOUND, BOUND, true);
+      FeedBounds bounds = new FeedBounds(Duration.ofSeconds(5), BOUND, BOUND, everyView);
       Lookouts lookouts = new Lookouts(options(bounds), this, machine);
       follower = new StoreFollower(this, this, machine, timers, own, bounds, lookouts);
       peers.start();
       follower.start();
     }
 
+    /** Its open connections fall silent, without a reset; new ones work. */
+    void silenceConnections() {
+      silentUntilNanos = clock.nanoTime();
+    }
+
+    private boolean isSilent(long callNanos) {
+      return callNanos <= silentUntilNanos;
+    }
+
     /** The machine stands still, and its steady clock with it. */
     void suspend() {
       paused = true;
@@ -196,8 +220,8 @@
     @Override
     public void watch(long call, StoreRevision after, Duration wait, Duration timeout) {
       int caller = life;
-      callStore(
-          call, timeout, () -> holdWatch(caller, call, after, clock.nanoTime() + wait.toNanos()));
+      long untilNanos = clock.nanoTime() + wait.toNanos();
+      callStore(call, timeout, () -> holdWatch(caller, call, after, clock.nanoTime(), untilNanos));
     }
 
     private void callStore(long call, Duration timeout, Runnable atStore) {
@@ -210,7 +234,11 @@
       }
     }
 
-    private void holdWatch(int caller, long call, StoreRevision after, long untilNanos) {
+    private void holdWatch(
+        int caller, long call, StoreRevision after, long beganNanos, long untilNanos) {
+      if (isSilent(beganNanos)) {
+        return;
+      }
       Optional<FeedAnswer> changes = store.changesAfter(after.number());
       if (changes.isEmpty()) {
         later(caller, way(), () -> follower.onFailure(call, FeedFailure.HISTORY_GONE));
@@ -218,7 +246,8 @@
         answer(caller, call, changes.get());
       } else {
         world.schedule(
-            clock.nanoTime() + 1_000_000, () -> holdWatch(caller, call, after, untilNanos));
+            clock.nanoTime() + 1_000_000,
+            () -> holdWatch(caller, call, after, beganNanos, untilNanos));
       }
     }
 
@@ -251,6 +280,9 @@
         StoreRevision after,
         long receivedNanos,
         long untilNanos) {
+      if (isSilent(receivedNanos) || asker.isSilent(receivedNanos)) {
+        return;
+      }
       boolean waitIsOver = clock.nanoTime() >= untilNanos;
       if (follower.view().isBetweenEras() && !waitIsOver) {
         later(
