No watch of the store is longer than the bound in which its silence must be found

Callers were served by a version that had been replaced, for up to seconds after the bound, at routers that follow lookouts, whenever the store had been silent for longer than a lookout's patience.

Cause: a router that no lookout tells fell to a watch of 25 s, which rested on others telling it that it was behind. After a silence for all nobody is ahead but the lookouts (6 of 60), and a ping a second finds one of them late.

Ruled out: that a version is read and refused (no such line), that the call is answered and misread (age of the view 8.1 s at the refusal).

Change: every watch ends within storeSilence; a router whose lookouts have failed waits as long as at one of them and asks them again. The constant of 25 s is gone.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/FeedSource.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/FeedSource.java
@@ -10,6 +10,9 @@
   /** Whether others follow this router, so that its view must not grow old. */
   boolean isFollowed();
 
+  /** Whether this router is to hear of changes from lookouts, though none may answer now. */
+  boolean hasLookouts();
+
   /** The router to follow, as IP:PORT for peers; empty to follow the store itself. */
   Optional<String> lookoutToFollow();
 
--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/FollowerTimes.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/FollowerTimes.java
@@ -16,9 +16,6 @@
   /** Changes come in groups; a pause after some lets the next call bring the rest. */
   static final Duration SHORTEST_PAUSE = Duration.ofMillis(400);
 
-  /** The store cuts waits of more than 30 s (its protocol); this is well below. */
-  static final Duration LONGEST_WAIT = Duration.ofSeconds(25);
-
   /** A lookout that stands still must be noticed well within the time to act by a change. */
   static final Duration LONGEST_PEER_WAIT = Duration.ofSeconds(2);
 
--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/StoreFollower.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/StoreFollower.java
@@ -13,12 +13,11 @@
  * the history is gone. Pages of a listing are no snapshot, so that the higher revision of a key
  * wins, and the first page's revision is where the watch begins.
  *
- * <p>A watch behind a cut that swallows packets, or whose answer is lost, is silent for ever.
- * Lookouts therefore wait for a short time only. In a zone of many routers the others follow a
- * lookout in place of the store, by the same calls, and the store itself where no lookout answers.
- * Each hears from its peers which revision those have seen: one that stays behind it asks anew,
- * elsewhere. While the store does not answer a router, it takes the listing of a peer that is
- * ahead.
+ * <p>A watch behind a cut that swallows packets, or whose answer is lost, is silent for ever. Every
+ * router therefore waits for a short time only. In a zone of many routers most follow a lookout in
+ * place of the store, by the same calls, and the store itself where no lookout answers. Each hears
+ * from its peers which revision those have seen: one that stays behind it asks anew, elsewhere.
+ * While the store does not answer a router, it takes the listing of a peer that is ahead.
  */
 public final class StoreFollower {
   static final Duration LIST_TIMEOUT = Duration.ofSeconds(2);
@@ -63,7 +62,6 @@
   private boolean watching;
   private boolean awaitsPeerListing;
   private boolean checkingBehind;
-  private boolean failedSinceWatch;
   private int failures;
   private boolean everAnswered;
   private Optional<Long> gapSinceNanos = Optional.empty();
@@ -179,7 +177,6 @@
         watch();
         return;
       }
-      failedSinceWatch = true;
       if (revision.isOfEraOf(view.position())) {
         watch();
       } else {
@@ -292,7 +289,6 @@
       onLookoutFailed(followed.get(), failure);
       return;
     }
-    failedSinceWatch = true;
     if (failure == FeedFailure.HISTORY_GONE) {
       listener.onHistoryGone(view.position());
       onGap();
@@ -354,7 +350,6 @@
   }
 
   private void onChanges(FeedAnswer answer) {
-    failedSinceWatch = false;
     if (answer.items().isEmpty() || followed.isPresent()) {
       // A lookout pauses itself.
       watch();
@@ -404,9 +399,9 @@
     if (confirms()) {
       return times.confirmingWait(view.age());
     }
-    // After a failure the next silence is looked for closely.
-    boolean closely = source.isLookout() || failedSinceWatch;
-    return closely ? times.shortWait() : FollowerTimes.LONGEST_WAIT;
+    // A silent store never ends the call, and the lookouts may answer again long before others
+    // tell.
+    return source.hasLookouts() ? times.peerWait() : times.shortWait();
   }
 
   /** Whether this router's view must be confirmed by its own watches. */
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/Lookouts.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/Lookouts.java
@@ -16,9 +16,9 @@
 import java.util.Optional;
 
 /**
- * Which routers watch the store closely, so that its silence is found in time: some of each zone,
- * chosen by a hash of their ids. In a large zone the others follow them in place of the store,
- * which saves most of its calls; in a small one there is little to save.
+ * Which routers watch the store for the others: some of each large zone, chosen by a hash of their
+ * ids. The others follow them in place of the store, which saves most of its calls; in a small zone
+ * there is little to save.
  */
 final class Lookouts implements FeedSource {
   private static final int FEWEST = 2;
@@ -74,6 +74,11 @@
     return !view().isSmall() && view().isLookout();
   }
 
+  @Override
+  public boolean hasLookouts() {
+    return !view().isSmall() && !view().isLookout();
+  }
+
   @Override
   public Optional<String> lookoutToFollow() {
     View view = view();
--- a/arrowarch-core/src/test/java/io/arrowarch/core/feed/ChangeDatesTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/feed/ChangeDatesTest.java
@@ -149,6 +149,11 @@
       return false;
     }
 
+    @Override
+    public boolean hasLookouts() {
+      return false;
+    }
+
     @Override
     public Optional<String> lookoutToFollow() {
       return Optional.empty();
--- a/arrowarch-core/src/test/java/io/arrowarch/core/feed/StoreFollowerFixture.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/feed/StoreFollowerFixture.java
@@ -28,6 +28,7 @@
   boolean everyView;
   boolean isFollowed;
   boolean lookout;
+  boolean inLargeZone;
   final List<String> lookouts = new ArrayList<>();
   final Deque<String> atStart = new ArrayDeque<>();
 
@@ -42,6 +43,7 @@
     everyView = false;
     isFollowed = false;
     lookout = true;
+    inLargeZone = false;
     lookouts.clear();
     atStart.clear();
     follow(LONGEST_SILENCE);
@@ -111,6 +113,11 @@
       return isFollowed;
     }
 
+    @Override
+    public boolean hasLookouts() {
+      return inLargeZone;
+    }
+
     @Override
     public Optional<String> lookoutToFollow() {
       return lookouts.stream().findFirst();
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/SilentStoreFleetTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/SilentStoreFleetTest.java
@@ -8,8 +8,8 @@
 
 /**
  * The store was silent for some seconds. Both lookouts of each zone noticed it and told their
- * followers that they could not be followed, so that these watched the store themselves, with a
- * call that may wait for 25 s. The store never answered that call, and when it was back nothing
+ * followers that they could not be followed, so that these watched the store themselves, with the
+ * wait of 25 s that was meant for routers which others would tell. The store never answered that call, and when it was back nothing
  * ended it but news of a router that was ahead. Only the lookouts were ahead, six of sixty, and a
  * router hears of two others a second: some routers handled requests by a version that had been
  * replaced long before.
