--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/FollowerFleet.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/FollowerFleet.java
@@ -104,6 +104,7 @@
     private TimerQueue timers = new TimerQueue();
     private int life;
     StoreFollower follower;
+    private Lookouts lookouts;
     private RouterPeers peers;
 
     Router(int number) {
@@ -133,7 +134,7 @@
               new Revisions(),
               message -> {});
       FeedBounds bounds = new FeedBounds(Duration.ofSeconds(5), BOUND, BOUND, everyView);
-      Lookouts lookouts = new Lookouts(options(bounds), this, machine);
+      lookouts = new Lookouts(options(bounds), this, machine);
       follower = new StoreFollower(this, this, machine, timers, own, bounds, lookouts);
       peers.start();
       follower.start();
@@ -170,7 +171,12 @@
       return "router-" + number;
     }
 
-    private String zone() {
+    /** Whether others are to follow it, as it sees itself. */
+    boolean isLookout() {
+      return lookouts.isFollowed();
+    }
+
+    String zone() {
       return "zone-" + number % zones;
     }
 
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/SilentStoreFleetTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/SilentStoreFleetTest.java
@@ -9,10 +9,10 @@
 /**
  * The store was silent for some seconds. Both lookouts of each zone noticed it and told their
  * followers that they could not be followed, so that these watched the store themselves, with the
- * wait of 25 s that was meant for routers which others would tell. The store never answered that call, and when it was back nothing
- * ended it but news of a router that was ahead. Only the lookouts were ahead, six of sixty, and a
- * router hears of two others a second: some routers handled requests by a version that had been
- * replaced long before.
+ * wait of 25 s that was meant for routers which others would tell. The store never answered that
+ * call, and when it was back nothing ended it but news of a router that was ahead. Only the
+ * lookouts were ahead, six of sixty, and a router hears of two others a second: some routers
+ * handled requests by a version that had been replaced long before.
  *
  * <p>A router of 48 real processes logged {@code store state=follows reason="the store"
  * revision=134} at 31:54.0. The store was back for five seconds and version 9 acknowledged for as
