After a silent lookout a router asks the store, not another lookout

Callers were served by a version that had been replaced at routers both of whose lookouts stood still or were cut off without a reset: two seconds for each lookout, and the first one again when its two seconds of avoidance were over, so that the store was never asked (calls at 9.04, 11.04 and 13.04 s in virtual time; a version of 9.87 s in force at 14.91 s).

Cause: the time for which a silent lookout is avoided is that of a silent call. Weighed: a longer avoidance (5 s) and at most two lookouts in a row mend this sequence too, but not a router that was silent at the store before: 2.4 s and two times 2 s are past the bound. Change: one silent call at a lookout, then the store, whose answer is whole; a lookout that declines at once is followed by the next one, as before.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/StoreFollower.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/StoreFollower.java
@@ -302,7 +302,10 @@
     schedule(backoff / 2 + random.nextLong(backoff), this::callAgain);
   }
 
-  /** A lookout that has forgotten what this router misses tells all; any other is left. */
+  /**
+   * A lookout that has forgotten what this router misses tells all; any other is left. After one
+   * that was silent the store is asked: a second silence would leave no time for the changes.
+   */
   private void onLookoutFailed(String lookout, FeedFailure failure) {
     if (failure == FeedFailure.HISTORY_GONE) {
       awaitsPeerListing = true;
@@ -310,7 +313,11 @@
       return;
     }
     source.onFailed(lookout);
-    watch();
+    if (failure == FeedFailure.NO_ANSWER) {
+      watch(Optional.empty());
+    } else {
+      watch();
+    }
   }
 
   /** A listing that broke off starts anew: its pages would be from too far apart. */
@@ -371,11 +378,20 @@
   }
 
   private void watch() {
+    watch(source.isLookout() ? Optional.empty() : source.lookoutToFollow());
+  }
+
+  /**
+   * Waits for what is new.
+   *
+   * @param lookout the router to hear it from; empty: the store
+   */
+  private void watch(Optional<String> lookout) {
     calling = true;
     watching = true;
     callStartNanos = clock.nanoTime();
     StoreRevision after = view.position();
-    follow(source.isLookout() ? Optional.empty() : source.lookoutToFollow());
+    follow(lookout);
     if (followed.isPresent()) {
       Duration wait = times.peerWait();
       Duration timeout = wait.plus(FollowerTimes.PEER_ANSWER_SLACK);
--- a/arrowarch-core/src/test/java/io/arrowarch/core/feed/StoreFollowerFreshnessTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/feed/StoreFollowerFreshnessTest.java
@@ -121,7 +121,7 @@
     lookouts.add("10.0.0.3:7400");
     answer(100, false);
     peerAnswers(Optional.of(Duration.ZERO), 101, written("a", 101));
-    fail(FeedFailure.NO_ANSWER);
+    fail(FeedFailure.UNAVAILABLE);
     fail(FeedFailure.UNAVAILABLE);
 
     assertThat(listener.sources).containsExactly(PEER, "10.0.0.3:7400", "store");
--- a/arrowarch-core/src/test/java/io/arrowarch/core/feed/StoreFollowerTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/feed/StoreFollowerTest.java
@@ -175,7 +175,7 @@
     lookouts.add(PEER);
     lookouts.add("10.0.0.3:7400");
     answer(100, false);
-    fail(FeedFailure.NO_ANSWER);
+    fail(FeedFailure.UNAVAILABLE);
     assertThat(transport.last()).isEqualTo("watch 10.0.0.3:7400 after 100");
     fail(FeedFailure.UNAVAILABLE);
     assertThat(transport.last()).isEqualTo("watch after 100");
@@ -183,6 +183,20 @@
     assertThat(follower.mayBeFollowed(revision(100))).isTrue();
   }
 
+  @Test
+  public void afterASilentLookoutTheStoreIsAskedAndThenTheNextLookout() {
+    lookout = false;
+    lookouts.add(PEER);
+    lookouts.add("10.0.0.3:7400");
+    answer(100, false);
+    fail(FeedFailure.NO_ANSWER);
+    assertThat(transport.last()).isEqualTo("watch after 100");
+    assertThat(listener.lines).doesNotContain("lost");
+    answer(100, false);
+
+    assertThat(transport.last()).isEqualTo("watch 10.0.0.3:7400 after 100");
+  }
+
   @Test
   public void aLookoutThatHasForgottenTellsAll() {
     lookout = false;
