An answer of the store, or of a router, that stalls after its head ends in a second

Callers were refused or served by an older version at a router whose watch had stalled, until another router's word ended that call; one that started with such an answer was never ready.

Cause: the time-out of a Vert.x request ends with the head of its answer; the body had none. Ruled out: the watch's own wait, which is the store's. Change: a body that brings nothing for a second fails the call, which is made again as after any lost answer. A whole time-out was weighed; a listing on a slow link would then begin again and again.

--- a/arrowarch-node/src/main/java/io/arrowarch/node/BoundedBody.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/BoundedBody.java
@@ -2,8 +2,11 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicLong;
 
 /** Reads the body of a response up to a limit. */
 public final class BoundedBody {
@@ -15,6 +18,9 @@
   /** Documents of the platform. */
   public static final int MAXIMUM_DOCUMENT_BYTES = 64 << 20;
 
+  /** How often a body is looked at while nothing of it comes. */
+  private static final int CHECKS_EACH_PAUSE = 4;
+
   private BoundedBody() {}
 
   /** The body is longer than the limit. */
@@ -26,12 +32,51 @@
     }
   }
 
+  /** Nothing more came of a body for too long. */
+  public static final class StalledException extends Exception {
+    private static final long serialVersionUID = 1;
+
+    StalledException(Duration longestPause) {
+      super("nothing of the body came for " + longestPause);
+    }
+  }
+
+  /**
+   * The whole body; fails and closes the connection when it is longer than the limit, or when
+   * nothing of it comes for too long: the time-out of a request ends with the head of its answer.
+   *
+   * @param longestPause between two pieces of the body
+   */
+  public static Future<Buffer> read(
+      Vertx vertx, HttpClientResponse response, int limit, Duration longestPause) {
+    Promise<Buffer> whole = Promise.promise();
+    AtomicLong lastNanos = new AtomicLong(System.nanoTime());
+    long timer =
+        vertx.setPeriodic(
+            longestPause.toMillis() / CHECKS_EACH_PAUSE,
+            id -> {
+              if (System.nanoTime() - lastNanos.get() > longestPause.toNanos()) {
+                whole.tryFail(new StalledException(longestPause));
+                response.request().reset();
+              }
+            });
+    read(response, limit, () -> lastNanos.set(System.nanoTime()))
+        .onSuccess(whole::tryComplete)
+        .onFailure(whole::tryFail);
+    return whole.future().onComplete(ended -> vertx.cancelTimer(timer));
+  }
+
   /** The whole body; fails and closes the connection when it is longer than the limit. */
   public static Future<Buffer> read(HttpClientResponse response, int limit) {
+    return read(response, limit, () -> {});
+  }
+
+  private static Future<Buffer> read(HttpClientResponse response, int limit, Runnable onPiece) {
     Promise<Buffer> promise = Promise.promise();
     Buffer body = Buffer.buffer();
     response.handler(
         chunk -> {
+          onPiece.run();
           if (body.length() + chunk.length() > limit) {
             promise.tryFail(new TooLongException(limit));
             response.request().reset();
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/StoreClient.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/StoreClient.java
@@ -35,9 +35,13 @@
   /** A listing of a router of the zone takes some 50 ms on a small machine's link. */
   private static final Duration PEER_TIMEOUT = Duration.ofSeconds(1);
 
+  /** An answer whose rest was lost comes no further, and the call must be made again in time. */
+  private static final Duration LONGEST_PAUSE = Duration.ofSeconds(1);
+
   /** A connection whose call did not end in time says nothing more; there must be room for one. */
   private static final int CONNECTIONS = 4;
 
+  private final Vertx vertx;
   private final EventLoopDriver driver;
   private final Supplier<StoreFollower> follower;
   private final FeedCodec codec;
@@ -63,6 +67,7 @@
       FeedCodec codec,
       SocketAddressSetting store,
       Runnable onFollowed) {
+    this.vertx = vertx;
     this.driver = driver;
     this.follower = follower;
     this.codec = codec;
@@ -140,10 +145,7 @@
     client
         .request(options)
         .compose(HttpClientRequest::send)
-        .compose(
-            response ->
-                BoundedBody.read(response, BoundedBody.MAXIMUM_DOCUMENT_BYTES)
-                    .onSuccess(body -> onPeerListing(response, body)))
+        .compose(response -> readBody(response).onSuccess(body -> onPeerListing(response, body)))
         .onFailure(failure -> driver.run(() -> follower.get().onPeerListingFailed()));
   }
 
@@ -159,6 +161,10 @@
                 .peekLeft(failure -> follower.get().onPeerListingFailed()));
   }
 
+  private Future<Buffer> readBody(HttpClientResponse response) {
+    return BoundedBody.read(vertx, response, BoundedBody.MAXIMUM_DOCUMENT_BYTES, LONGEST_PAUSE);
+  }
+
   private Either<FeedFailure, FeedAnswer> decode(HttpClientResponse response, byte[] body) {
     Optional<String> era = Optional.ofNullable(response.getHeader(codec.eraHeader()));
     return codec.decode(response.statusCode(), era, body);
@@ -198,8 +204,7 @@
         .compose(request -> send(call, request))
         .compose(
             response ->
-                BoundedBody.read(response, BoundedBody.MAXIMUM_DOCUMENT_BYTES)
-                    .onSuccess(body -> onAnswer(call, response, body, handler)))
+                readBody(response).onSuccess(body -> onAnswer(call, response, body, handler)))
         .onFailure(failure -> fail(call, FeedFailure.NO_ANSWER));
   }
 
