--- a/arrowarch-node/src/test/java/io/arrowarch/node/forward/DelegateClientTest.java
+++ b/arrowarch-node/src/test/java/io/arrowarch/node/forward/DelegateClientTest.java
@@ -3,28 +3,17 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
-import com.google.common.collect.ImmutableSet;
 import io.arrowarch.core.event.EventLog;
-import io.arrowarch.core.feed.FeedBounds;
 import io.arrowarch.core.forward.Caller;
-import io.arrowarch.core.forward.ColdServerRules;
 import io.arrowarch.core.forward.DelegateReply;
 import io.arrowarch.core.forward.DelegatedSearch;
-import io.arrowarch.core.forward.ExtraAttemptRules;
 import io.arrowarch.core.forward.ForwardCoordinator;
-import io.arrowarch.core.forward.ForwardOptions;
 import io.arrowarch.core.forward.ForwardedRequest;
 import io.arrowarch.core.forward.Payload;
 import io.arrowarch.core.forward.RouterGroup;
-import io.arrowarch.core.forward.ServerAttempt;
-import io.arrowarch.core.forward.ServerTransport;
 import io.arrowarch.core.peer.NearbyRouter;
 import io.arrowarch.core.route.RouteTarget;
 import io.arrowarch.core.server.ServerDirectory;
-import io.arrowarch.core.tenant.LimitRules;
-import io.arrowarch.core.tenant.RevocationRules;
-import io.arrowarch.core.tenant.TenantRules;
 import io.arrowarch.core.time.TimerQueue;
 import io.arrowarch.node.EventLoopDriver;
 import io.arrowarch.node.SystemClock;
@@ -133,35 +122,14 @@
 
   private static ForwardCoordinator coordinator() {
     return new ForwardCoordinator(
-        new ForwardOptions(
-            "a",
-            "zone-a",
-            1,
-            1,
-            new ExtraAttemptRules(0, 0, Duration.ofSeconds(10)),
-            TIME_LEFT,
-            new FeedBounds(TIME_LEFT, TIME_LEFT, Duration.ofSeconds(3), false),
-            ColdServerRules.EXACT,
-            ImmutableMap.of(),
-            new TenantRules(
-                new RevocationRules(false, Duration.ofSeconds(3)),
-                new LimitRules(Duration.ofSeconds(5), 0.25, 20)),
-            ImmutableSet.of()),
+        IdleOptions.OPTIONS,
         new SystemClock(),
         new TimerQueue(),
         new Random(1),
         new ServerDirectory(TIME_LEFT),
-        new NoServers(),
+        new IdleOptions.NoServers(),
         EventLog.NONE,
         RouterGroup.ofCount(1),
         () -> Optional.of(Duration.ZERO));
   }
-
-  private static final class NoServers implements ServerTransport {
-    @Override
-    public void send(ServerAttempt attempt) {}
-
-    @Override
-    public void cancel(ServerAttempt attempt) {}
-  }
 }
