After a silence of the store or a lookout no connection that was open is used again

Where open connections fall silent for good, a router made its next call on one that had been idle since before, and waited a whole time-out more for each: up to 2.4 s at the store and 2 s at a lookout, past the bound within which changes must be in force.

Cause: the pool of the client keeps idle connections for a minute and cannot know which are silent. Change: a call that has timed out leaves the client with its pool; what is on its way there may end. Weighed: a short life of idle connections, which costs a new one after each pause of a lookout.

--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/StoreClient.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/StoreClient.java
@@ -1,5 +1,6 @@
 package io.arrowarch.node.forward;
 
+import com.google.common.flogger.FluentLogger;
 import io.arrowarch.core.feed.FeedAnswer;
 import io.arrowarch.core.feed.FeedFailure;
 import io.arrowarch.core.feed.FeedTransport;
@@ -23,6 +24,8 @@
 import io.vertx.core.http.RequestOptions;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Supplier;
 
 /**
@@ -47,7 +50,7 @@
   private final FeedCodec codec;
   private final SocketAddressSetting store;
   private final Runnable onFollowed;
-  private final HttpClient client;
+  private HttpClient client;
   private Optional<HttpClientRequest> unanswered = Optional.empty();
   private long listingCalls;
   private long watchCalls;
@@ -73,12 +76,15 @@
     this.codec = codec;
     this.store = store;
     this.onFollowed = onFollowed;
-    this.client =
-        vertx.createHttpClient(
-            new HttpClientOptions()
-                .setTcpNoDelay(true)
-                .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis()),
-            new PoolOptions().setHttp1MaxSize(CONNECTIONS));
+    this.client = createClient();
+  }
+
+  private HttpClient createClient() {
+    return vertx.createHttpClient(
+        new HttpClientOptions()
+            .setTcpNoDelay(true)
+            .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis()),
+        new PoolOptions().setHttp1MaxSize(CONNECTIONS));
   }
 
   /** Pages of listings of the store since the start. */
@@ -205,7 +211,7 @@
         .compose(
             response ->
                 readBody(response).onSuccess(body -> onAnswer(call, response, body, handler)))
-        .onFailure(failure -> fail(call, FeedFailure.NO_ANSWER));
+        .onFailure(failure -> fail(call, failure));
   }
 
   private Future<HttpClientResponse> send(long call, HttpClientRequest request) {
@@ -228,9 +234,31 @@
     onFollowed.run();
   }
 
-  private Future<Void> fail(long call, FeedFailure failure) {
-    driver.run(() -> follower.get().onFailure(call, failure));
+  private void fail(long call, Throwable failure) {
+    boolean silent =
+        failure instanceof TimeoutException || failure instanceof BoundedBody.StalledException;
+    if (silent && call == newestCall) {
+      leaveOpenConnections();
+    }
+    driver.run(() -> follower.get().onFailure(call, FeedFailure.NO_ANSWER));
     onFollowed.run();
-    return Future.succeededFuture();
+  }
+
+  /**
+   * Where one connection has fallen silent, those that are idle may have as well, and each would
+   * cost the next call a whole time-out.
+   */
+  private void leaveOpenConnections() {
+    HttpClient left = client;
+    client = createClient();
+    // A listing of another router that is on its way may still come.
+    left.shutdown(PEER_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+        .onFailure(
+            failure -> Log.logger.atFine().withCause(failure).log("Store: a client stayed open."));
+  }
+
+  /** Opened by the first line, since it takes a sixth of a process's start. */
+  private static final class Log {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   }
 }
