--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/ConfigurationInForceProperties.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/ConfigurationInForceProperties.java
@@ -17,8 +17,8 @@
 import net.jqwik.api.constraints.IntRange;
 
 /**
- * Large zones, where most routers follow lookouts and no view need be confirmed closely: whatever
- * happens to other routers, one that has itself been left alone for the bound, at a store that has
+ * In small zones, and in large ones where most routers follow lookouts, whether or not each view
+ * must be confirmed closely: whatever happens to other routers, one that has itself been left alone for the bound, at a store that has
  * been left alone for as long, has every version in force that was acknowledged longer ago than the
  * bound.
  */
@@ -64,9 +64,10 @@
   @Property(tries = 200, seed = "20261205", shrinking = ShrinkingMode.OFF)
   void whatWasAcknowledgedIsInForceWhereNothingIsAmiss(
       @ForAll("steps") List<Step> steps,
-      @ForAll @IntRange(min = 6, max = 42) int routers,
-      @ForAll @IntRange(min = 1, max = 3) int zones) {
-    Run run = new Run(new FollowerFleet(routers, zones, steps.size(), false));
+      @ForAll @IntRange(min = 2, max = 42) int routers,
+      @ForAll @IntRange(min = 1, max = 3) int zones,
+      @ForAll boolean everyView) {
+    Run run = new Run(new FollowerFleet(routers, zones, steps.size(), everyView));
     run.start();
     for (Step step : steps) {
       run.apply(step);
