--- a/arrowarch-core/src/test/java/io/arrowarch/core/feed/RecordingFeedListener.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/feed/RecordingFeedListener.java
@@ -9,6 +9,9 @@
 final class RecordingFeedListener implements FeedListener {
   final List<String> lines = new ArrayList<>();
 
+  /** The key that it fails to take. */
+  String failsAt = "";
+
   /** Where changes were heard, one entry a change. */
   final List<String> sources = new ArrayList<>();
 
@@ -19,6 +22,9 @@
 
   @Override
   public void onWritten(String key, FeedEntry entry, StoreRevision revision) {
+    if (key.equals(failsAt)) {
+      throw new IllegalStateException("the listener failed");
+    }
     lines.add(key + "@" + text(revision));
   }
 
--- a/arrowarch-core/src/test/java/io/arrowarch/core/feed/StoreFollowerTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/feed/StoreFollowerTest.java
@@ -1,6 +1,7 @@
 package io.arrowarch.core.feed;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.time.Duration;
 import java.util.Optional;
@@ -131,6 +132,39 @@
     assertThat(transport.last()).isEqualTo("watch after 101");
   }
 
+  /**
+   * A change that the router failed to act by ended the only chain of its calls: the defect was
+   * logged, and nothing that was written later was ever in force there.
+   */
+  @Test
+  public void aChangeThatCannotBeTakenDoesNotEndTheFollowing() {
+    answer(100, false, written("a", 10));
+    listener.failsAt = "bad";
+    assertThatThrownBy(() -> answer(101, false, written("bad", 101)))
+        .isInstanceOf(IllegalStateException.class);
+    pass(Duration.ofSeconds(2));
+    assertThat(transport.calls).containsExactly("list", "watch after 100", "watch after 100");
+    answer(102, false, written("bad", 101), written("b", 102));
+
+    assertThat(listener.lines).contains("b@102");
+  }
+
+  @Test
+  public void norDoesOneOfALookout() {
+    lookout = false;
+    lookouts.add(PEER);
+    answer(100, false);
+    listener.failsAt = "bad";
+    assertThatThrownBy(() -> peerAnswers(Optional.empty(), 101, written("bad", 101)))
+        .isInstanceOf(IllegalStateException.class);
+    int calls = transport.calls.size();
+    pass(Duration.ofSeconds(2));
+    assertThat(transport.calls).hasSize(calls + 1);
+    peerAnswers(Optional.empty(), 102, written("bad", 101), written("b", 102));
+
+    assertThat(listener.lines).contains("b@102");
+  }
+
   @Test
   public void whoIsNoLookoutFindsTheSilenceOfTheStoreInTimeToo() {
     lookout = false;
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/ConfigurationInForceProperties.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/ConfigurationInForceProperties.java
@@ -18,9 +18,9 @@
 
 /**
  * In small zones, and in large ones where most routers follow lookouts, whether or not each view
- * must be confirmed closely: whatever happens to other routers, one that has itself been left alone for the bound, at a store that has
- * been left alone for as long, has every version in force that was acknowledged longer ago than the
- * bound.
+ * must be confirmed closely: whatever happens to other routers, one that has itself been left alone
+ * for the bound, at a store that has been left alone for as long, has every version in force that
+ * was acknowledged longer ago than the bound.
  */
 class ConfigurationInForceProperties {
   private static final Duration START = Duration.ofSeconds(8);
