A defect while a change is taken costs a backoff, not the following of the store

What the router fails to act by is logged and thrown as before, but the next call was made by the code that had just been left: the only chain of calls ended, and later versions were not in force.

Change: whatever is told within one answer is followed by another call after the backoff of a failure. What was taken is held, so that it is not told again.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/StoreFollower.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/StoreFollower.java
@@ -194,9 +194,10 @@
   public void onPeerListing(FeedAnswer answer, Optional<Duration> age) {
     Optional<Long> askedNanos = peerListings.onEnded();
     StoreRevision before = view.position();
-    boolean taken = view.onPeerListing(answer, askedNanos, age);
     boolean awaited = awaitsPeerListing;
     awaitsPeerListing = false;
+    take(() -> view.onPeerListing(answer, askedNanos, age));
+    boolean taken = view.position().isAfter(before);
     if (taken) {
       afterListing(before);
       listing.abandon();
@@ -241,11 +242,22 @@
       // Numbers are given out again: what the answer tells may not be all that is new.
       onGap();
     } else {
-      view.onChanges(answer, callStartNanos, callWait);
+      take(() -> view.onChanges(answer, callStartNanos, callWait));
       onChanges(answer);
     }
   }
 
+  /** A defect while something is taken must not end the calls: they are this router's only news. */
+  private void take(Runnable telling) {
+    try {
+      telling.run();
+    } catch (RuntimeException e) {
+      failures++;
+      callAfterBackoff();
+      throw e;
+    }
+  }
+
   /**
    * Takes the changes that a lookout tells; ignored when the call is not the current one.
    *
@@ -261,7 +273,7 @@
       return;
     }
     onAnswered();
-    view.onPeerChanges(answer, callStartNanos, age);
+    take(() -> view.onPeerChanges(answer, callStartNanos, age));
     if (times.isOld(view.age())) {
       source.onFailed(followed.get());
     }
@@ -297,8 +309,12 @@
     if (failures == 0) {
       listener.onLost(failure);
     }
-    long backoff = FIRST_BACKOFF.toNanos() << Math.min(failures, MAXIMUM_DOUBLINGS);
     failures++;
+    callAfterBackoff();
+  }
+
+  private void callAfterBackoff() {
+    long backoff = FIRST_BACKOFF.toNanos() << Math.min(failures - 1, MAXIMUM_DOUBLINGS);
     schedule(backoff / 2 + random.nextLong(backoff), this::callAgain);
   }
 
@@ -334,14 +350,14 @@
       list(Optional.empty());
       return;
     }
-    view.onPage(answer);
+    take(() -> view.onPage(answer));
     Optional<String> lastKey = listing.onPage(answer);
     if (lastKey.isPresent()) {
       list(lastKey);
       return;
     }
     StoreRevision before = view.position();
-    view.onListed(listing);
+    take(() -> view.onListed(listing));
     afterListing(before);
     listener.onListed(listing.revision());
     watch();
