--- a/review/3/StopCase.java
+++ b/review/3/StopCase.java
@@ -25,10 +25,10 @@
 
   private static final double WORK_SPREAD = 0.5;
   private static final double LONGEST_WORK_MS = 1_300;
-  private static final double LENGTH_S = 54;
+  private static final double LENGTH_S = 78;
   private static final double FIRST_STOP_S = 4;
-  private static final int ROUNDS = 3;
-  private static final double ROUND_S = 16;
+  private static final int ROUNDS = 5;
+  private static final double ROUND_S = 15;
   private static final double STOP_GAP_S = 1;
 
   /** Bounds of the small sites. */
