Crashing requests: four tests that fail, for ways in which their crashes are not counted

What callers saw: a request under which three servers had crashed went on reaching servers.

Each test resubmits one crashing request in virtual time at a fleet of four routers; at most three submissions may reach a server later than four seconds after the third crash. On this code: - callers leave after 8 ms, servers crash after 20 ms: 11 reach servers (cancelled attempts are removed from those in flight, so no crash is attributed); - crashed servers fall silent instead of resetting connections: 14; - servers answer three in ten attempts with an error instead of running them: 5; - one shard, resubmitted every 50 s: 18.

--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/CrashFleet.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/CrashFleet.java
@@ -1,6 +1,7 @@
 package io.arrowarch.core.forward;
 
 import com.google.common.collect.ImmutableList;
+import com.google.errorprone.annotations.CanIgnoreReturnValue;
 import io.arrowarch.core.FakeClock;
 import io.arrowarch.core.error.QueryError;
 import io.arrowarch.core.peer.LiveRouter;
@@ -22,7 +23,7 @@
 /**
  * Simulates, in virtual time, several routers in front of the same servers, which certain requests
  * crash. A server answers after 20 ms. A crashed server breaks all its open attempts, refuses
- * connections, and is replaced by one with another id after two seconds.
+ * connections, and is replaced by one with another id after two seconds, when its entry is removed.
  */
 final class CrashFleet {
   static final String CRASHING = "/crash";
@@ -41,17 +42,32 @@
   /** When requests first reached a server, by path; one entry per caller's request. */
   final Map<String, List<Long>> arrivalNanos = new HashMap<>();
 
+  /** Whether crashed servers fall silent, so that no connection to them breaks. */
+  boolean silentCrashes;
+
+  /** Fraction of attempts that servers answer with an error instead of running them. */
+  double errorRate;
+
   private final TimerQueue simulatedEvents = new TimerQueue();
   private final Map<String, Server> servers = new HashMap<>();
   private final Set<String> counted = new HashSet<>();
   private final Random random;
+
+  /** Whether requests may run only once, so that each reaches one server. */
+  private final boolean runsOnce;
+
   private final double loss;
   private final int shards;
   private int nextServer;
   private int nextRequest;
 
   CrashFleet(int size, int shards, double loss, long seed) {
+    this(size, shards, loss, seed, false);
+  }
+
+  CrashFleet(int size, int shards, double loss, long seed, boolean runsOnce) {
     this.random = new Random(seed);
+    this.runsOnce = runsOnce;
     this.shards = shards;
     this.loss = loss;
     for (int number = 0; number < size; number++) {
@@ -71,6 +87,7 @@
     final String service;
     final Map<ServerAttempt, Router> open = new HashMap<>();
     boolean ended;
+    boolean silent;
 
     Server(String service) {
       this.service = service;
@@ -98,7 +115,7 @@
       for (int shard = 0; shard < shards; shard++) {
         services[shard] = service(shard);
       }
-      core.route(true, services);
+      core.route(!runsOnce, services);
       servers.forEach(
           (id, server) -> {
             if (!server.ended) {
@@ -120,8 +137,22 @@
     }
 
     /** Submits a request as a caller. */
-    void sendRequest(String path) {
-      core.submit("request-" + nextRequest++, path, ForwardFixture.TIMEOUT);
+    @CanIgnoreReturnValue
+    ForwardHandle sendRequest(String path) {
+      return core.submit("request-" + nextRequest++, path, ForwardFixture.TIMEOUT);
+    }
+
+    /** Submits a request as a caller that disconnects after a time. */
+    void sendRequestAndLeave(String path, Duration patience) {
+      ForwardHandle handle = sendRequest(path);
+      int submittedTo = incarnation;
+      simulatedEvents.schedule(
+          clock.nanoTime() + patience.toNanos(),
+          () -> {
+            if (!dead && submittedTo == incarnation) {
+              handle.cancel();
+            }
+          });
     }
 
     private void refreshLiveRouters() {
@@ -227,13 +258,19 @@
   private void arrive(ServerAttempt attempt, Router by) {
     Server server = servers.get(attempt.server().id());
     if (server.ended) {
-      reportFailure(by, attempt, ServerFailure.UNREACHABLE);
+      if (!server.silent) {
+        reportFailure(by, attempt, ServerFailure.UNREACHABLE);
+      }
       return;
     }
     String path = attempt.request().target();
     if (counted.add(attempt.request().id())) {
       arrivalNanos.computeIfAbsent(path, key -> new ArrayList<>()).add(clock.nanoTime());
     }
+    if (random.nextDouble() < errorRate) {
+      by.core.answer(attempt, ForwardFixture.serverError());
+      return;
+    }
     server.open.put(attempt, by);
     simulatedEvents.schedule(
         clock.nanoTime() + SERVICE_TIME.toNanos(),
@@ -260,9 +297,12 @@
   private void end(String id) {
     Server server = servers.get(id);
     server.ended = true;
+    server.silent = silentCrashes;
     Map<ServerAttempt, Router> open = new HashMap<>(server.open);
     server.open.clear();
-    open.forEach((attempt, by) -> reportFailure(by, attempt, ServerFailure.BROKEN));
+    if (!server.silent) {
+      open.forEach((attempt, by) -> reportFailure(by, attempt, ServerFailure.BROKEN));
+    }
     simulatedEvents.schedule(
         clock.nanoTime() + RESTART_DELAY.toNanos(),
         () -> {
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/CrashingRequestTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/CrashingRequestTest.java
@@ -42,6 +42,61 @@
     assertThat(fleet.arrivalsAfterThirdCrash(CrashFleet.CRASHING)).isLessThanOrEqualTo(3);
   }
 
+  /** Its attempts are cancelled before the servers crash, and no connection shows the crashes. */
+  @Test
+  public void crashingSearchWhoseCallersLeaveReachesNoServerOnceKnown() {
+    CrashFleet fleet = new CrashFleet(4, 6, 0, 1);
+    for (int submission = 0; submission < 20; submission++) {
+      fleet
+          .routers
+          .get(submission % 4)
+          .sendRequestAndLeave(CrashFleet.CRASHING, Duration.ofMillis(8));
+      fleet.advance(RESUBMISSION_INTERVAL);
+    }
+
+    assertThat(fleet.ends(CrashFleet.CRASHING)).isGreaterThanOrEqualTo(3);
+    assertThat(fleet.arrivalsAfterThirdCrash(CrashFleet.CRASHING)).isLessThanOrEqualTo(3);
+  }
+
+  /** Its attempts end without an answer and without a broken connection. */
+  @Test
+  public void crashingSearchWhoseServersFallSilentReachesNoServerOnceKnown() {
+    CrashFleet fleet = new CrashFleet(4, 6, 0, 1);
+    fleet.silentCrashes = true;
+    resubmit(fleet, RESUBMISSION_INTERVAL);
+
+    assertThat(fleet.ends(CrashFleet.CRASHING)).isGreaterThanOrEqualTo(3);
+    assertThat(fleet.arrivalsAfterThirdCrash(CrashFleet.CRASHING)).isLessThanOrEqualTo(3);
+  }
+
+  /** An error response says nothing about what the request does to a server that runs it. */
+  @Test
+  public void crashingSearchThatSomeServersAnswerWithErrorsReachesNoServerOnceKnown() {
+    CrashFleet fleet = new CrashFleet(4, 6, 0, 1);
+    fleet.errorRate = 0.3;
+    resubmit(fleet, RESUBMISSION_INTERVAL);
+
+    assertThat(fleet.ends(CrashFleet.CRASHING)).isGreaterThanOrEqualTo(3);
+    assertThat(fleet.arrivalsAfterThirdCrash(CrashFleet.CRASHING)).isLessThanOrEqualTo(3);
+  }
+
+  /** Its first crashes are forgotten before the next ones. */
+  @Test
+  public void crashingRequestThatIsResubmittedEveryFiftySecondsReachesNoServerOnceKnown() {
+    CrashFleet fleet = new CrashFleet(4, 1, 0, 2);
+    resubmit(fleet, Duration.ofSeconds(50));
+
+    assertThat(fleet.ends(CrashFleet.CRASHING)).isGreaterThanOrEqualTo(3);
+    assertThat(fleet.arrivalsAfterThirdCrash(CrashFleet.CRASHING)).isLessThanOrEqualTo(3);
+  }
+
+  private static void resubmit(CrashFleet fleet, Duration interval) {
+    for (int submission = 0; submission < 20; submission++) {
+      fleet.routers.get(submission % 4).sendRequest(CrashFleet.CRASHING);
+      fleet.advance(interval);
+    }
+  }
+
   @Test
   public void otherRequestsAreAnsweredWhileItIsResubmitted() {
     CrashFleet fleet = new CrashFleet(4, 6, 0, 3);
