Crashing requests: attempts without an outcome count once their servers have ended

What callers saw: a crashing request whose callers leave early, or whose servers fall silent, was sent to servers again and again; no router suspected it.

Cause: the only evidence was a connection that broke while the attempt was open (BROKEN). A cancelled attempt left AttemptSender.inFlight and its connection was closed before the server crashed; SILENT and GARBLED attempts accused nobody.

Why it works: each way out of inFlight without an answer or a broken connection now ends in UnresolvedAttempts. What proves the crash later is known anyway: a new process under the server's name, a 421 of another process at its address, or its entry gone for 300 ms without draining. Only then is the request accused, so a caller who leaves costs a request nothing. Attempts that were never written to a connection are not kept. It costs no message and no call. Weighed: keeping cancelled attempts open (costs servers work that nobody waits for, and shows nothing of dark ends); counting every unanswered attempt at once (a canary for each search whose caller left).

New log line: crash-attributed.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/event/RouterEvent.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/event/RouterEvent.java
@@ -433,6 +433,24 @@
     }
   }
 
+  /**
+   * A server has ended to which a request had been sent without an outcome; this counts as a crash.
+   *
+   * @param requestKey first digits of the hash that identifies the request when it is sent again
+   * @param sinceMs time since the request was sent to the server
+   */
+  record CrashAttributed(String requestKey, String server, double sinceMs) implements RouterEvent {
+    @Override
+    public String eventName() {
+      return "crash-attributed";
+    }
+
+    @Override
+    public void writeTo(EventFields fields) {
+      fields.text("requestKey", requestKey).text("server", server).number("sinceMs", sinceMs);
+    }
+  }
+
   /** This router's estimate of how many routers share budgets and connections has changed. */
   record RoutersChanged(int before, int now) implements RouterEvent {
     @Override
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/AttemptSender.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/AttemptSender.java
@@ -9,6 +9,7 @@
 import io.arrowarch.core.server.ServerChooser;
 import io.arrowarch.core.server.ServerDirectory;
 import io.arrowarch.core.server.ServerState;
+import io.arrowarch.core.suspect.SuspectRequests;
 import io.arrowarch.core.time.RouterClock;
 import io.arrowarch.core.time.TimerQueue;
 import java.time.Duration;
@@ -41,6 +42,7 @@
   private final AttemptBudgets budgets;
   private final ColdServerLimits coldServers;
   private final ServerTransport transport;
+  private final SuspectRequests suspects;
   private final EventLog events;
   private final ToIntFunction<String> connectionShare;
   private final Map<Long, InFlightAttempt> inFlight = new HashMap<>();
@@ -61,6 +63,7 @@
       AttemptBudgets budgets,
       ColdServerLimits coldServers,
       ServerTransport transport,
+      SuspectRequests suspects,
       EventLog events,
       ToIntFunction<String> connectionShare) {
     this.clock = clock;
@@ -71,6 +74,7 @@
     this.budgets = budgets;
     this.coldServers = coldServers;
     this.transport = transport;
+    this.suspects = suspects;
     this.events = events;
     this.connectionShare = connectionShare;
   }
@@ -193,6 +197,9 @@
     if (reply.hasRun()) {
       ended.execution().monitor().onAnswered();
     }
+    if (reply.misdirected()) {
+      suspects.onServerEnded(server);
+    }
     ended.execution().onReply(ended.part(), ended.open(), reply);
     startWaitingParts(ended.part().service());
   }
@@ -208,6 +215,8 @@
     ended.part().onEnded(number, failure.mayHaveRun());
     if (failure == ServerFailure.BROKEN) {
       ended.execution().monitor().onConnectionBroken(server);
+    } else if (failure.mayHaveRun()) {
+      abandon(ended);
     }
     ended.execution().onFailure(ended.part(), ended.open(), failure);
     startWaitingParts(ended.part().service());
@@ -220,7 +229,9 @@
       InFlightAttempt ended = inFlight.remove(number);
       if (ended != null) {
         long nowNanos = clock.nanoTime();
-        transport.cancel(open.attempt());
+        if (transport.cancel(open.attempt())) {
+          abandon(ended);
+        }
         directory.onEnded(open.attempt().server().id(), number, AttemptVerdict.NONE, 0, nowNanos);
         part.onEnded(number, true);
       }
@@ -228,25 +239,49 @@
     startWaitingParts(part.service());
   }
 
+  private static void abandon(InFlightAttempt attempt) {
+    String server = attempt.open().attempt().server().id();
+    attempt.execution().monitor().onAttemptAbandoned(server, attempt.open().startNanos());
+  }
+
   /** Fails the open attempts at a server whose process has ended. */
   void onServerEnded(String serverId) {
-    List<Long> numbers =
-        inFlight.entrySet().stream()
-            .filter(entry -> entry.getValue().open().attempt().server().id().equals(serverId))
-            .map(Map.Entry::getKey)
-            .toList();
-    for (long number : numbers) {
+    for (long number : openAt(serverId)) {
       // The failure of one attempt may cancel others of its request.
       if (inFlight.containsKey(number)) {
-        transport.cancel(inFlight.get(number).open().attempt());
+        boolean unused = transport.cancel(inFlight.get(number).open().attempt());
         onFailure(number, ServerFailure.BROKEN);
       }
     }
+    suspects.onServerEnded(serverId);
+  }
+
+  /**
+   * Called when the entry of a server has disappeared without notice: it has probably crashed. Open
+   * attempts go on, since some servers leave in this way and still answer.
+   *
+   * @param sinceNanos when it disappeared
+   */
+  void onServerVanished(String serverId, long sinceNanos) {
+    for (long number : openAt(serverId)) {
+      InFlightAttempt attempt = inFlight.get(number);
+      if (attempt.open().startNanos() < sinceNanos) {
+        abandon(attempt);
+      }
+    }
+    suspects.onServerEnded(serverId);
+  }
+
+  private List<Long> openAt(String serverId) {
+    return inFlight.entrySet().stream()
+        .filter(entry -> entry.getValue().open().attempt().server().id().equals(serverId))
+        .map(Map.Entry::getKey)
+        .toList();
   }
 
   private void onSilent(long number, ServerAttempt attempt) {
     if (inFlight.containsKey(number)) {
-      transport.cancel(attempt);
+      boolean unused = transport.cancel(attempt);
       onFailure(number, ServerFailure.SILENT);
     }
   }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
@@ -11,6 +11,7 @@
 import io.arrowarch.core.route.RouteTarget;
 import io.arrowarch.core.route.RoutingConfiguration;
 import io.arrowarch.core.server.ServerDirectory;
+import io.arrowarch.core.server.ServerStatus;
 import io.arrowarch.core.suspect.SuspectRequests;
 import io.arrowarch.core.suspect.SuspectRules;
 import io.arrowarch.core.tenant.Authenticator;
@@ -48,6 +49,12 @@
    */
   private static final Duration START_UP_PERIOD = Duration.ofSeconds(8);
 
+  /**
+   * Entries of servers that live may disappear for a moment. Attempts that are answered within this
+   * time are then not attributed a crash.
+   */
+  private static final Duration ENTRY_RETURN_PERIOD = Duration.ofMillis(300);
+
   private final ForwardOptions options;
   private final RouterClock clock;
   private final TimerQueue timers;
@@ -163,6 +170,7 @@
             budgets,
             coldServers,
             transport,
+            suspects,
             events,
             shares::share);
   }
@@ -371,6 +379,26 @@
     sender.onServerEnded(serverId);
   }
 
+  /**
+   * Called when the entry of a server has been removed. Unless the server was draining or its entry
+   * soon returns, it counts as ended.
+   */
+  void onServerVanished(String serverId) {
+    long sinceNanos = clock.nanoTime();
+    timers.schedule(
+        sinceNanos + ENTRY_RETURN_PERIOD.toNanos(),
+        () -> {
+          boolean gone =
+              directory
+                  .find(serverId)
+                  .map(server -> server.status() == ServerStatus.GONE)
+                  .orElse(true);
+          if (gone) {
+            sender.onServerVanished(serverId, sinceNanos);
+          }
+        });
+  }
+
   private ForwardHandle run(
       ForwardedRequest request,
       Route route,
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardingRouter.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardingRouter.java
@@ -94,7 +94,8 @@
             group,
             () -> follower.view().age());
     this.serverFeed =
-        new ServerFeed(directory, clock, events, server -> coordinator.onServerEnded(server));
+        new ServerFeed(
+            directory, clock, events, coordinator::onServerEnded, coordinator::onServerVanished);
   }
 
   /** Starts reading the store. */
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/RequestMonitor.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/RequestMonitor.java
@@ -99,6 +99,16 @@
     }
   }
 
+  /**
+   * Called when the router stops waiting for an attempt: nothing shows yet whether its server has
+   * survived the request.
+   */
+  void onAttemptAbandoned(String server, long sentNanos) {
+    if (!answered) {
+      suspects.onAttemptAbandoned(key(), server, sentNanos, canary);
+    }
+  }
+
   /**
    * Key that identifies resubmissions of the request. Computed on first use, since few requests
    * need it.
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ServerFeed.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ServerFeed.java
@@ -17,6 +17,7 @@
   private final ServerDirectory directory;
   private final RouterClock clock;
   private final Consumer<String> onEnded;
+  private final Consumer<String> onVanished;
   private final ServerChangeLog changes;
   private final ServerEntries entries = new ServerEntries();
 
@@ -24,12 +25,18 @@
    * Creates a feed that has read no entries.
    *
    * @param onEnded receives the id of each server whose name a new process has taken
+   * @param onVanished receives the id of each server whose entry is removed
    */
   ServerFeed(
-      ServerDirectory directory, RouterClock clock, EventLog events, Consumer<String> onEnded) {
+      ServerDirectory directory,
+      RouterClock clock,
+      EventLog events,
+      Consumer<String> onEnded,
+      Consumer<String> onVanished) {
     this.directory = directory;
     this.clock = clock;
     this.onEnded = onEnded;
+    this.onVanished = onVanished;
     this.changes = new ServerChangeLog(events);
   }
 
@@ -69,7 +76,11 @@
     entries
         .remove(key)
         .filter(entry -> directory.onGone(entry.id(), sinceNanos, clock.nanoTime()))
-        .ifPresent(entry -> changes.add(entry, "gone", revision));
+        .ifPresent(
+            entry -> {
+              changes.add(entry, "gone", revision);
+              onVanished.accept(entry.id());
+            });
   }
 
   /** Removes the server of a key whose new entry cannot be read. */
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ServerTransport.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ServerTransport.java
@@ -12,6 +12,8 @@
   /**
    * Cancels an attempt by closing its connection, so that the server stops. Nothing is reported for
    * this attempt afterwards.
+   *
+   * @return whether the server may have received any of it
    */
-  void cancel(ServerAttempt attempt);
+  boolean cancel(ServerAttempt attempt);
 }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/suspect/SuspectRequests.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/suspect/SuspectRequests.java
@@ -29,6 +29,7 @@
  * </ul>
  */
 public final class SuspectRequests {
+  private static final double NANOS_PER_MILLI = 1e6;
   private static final Duration EVICTION_INTERVAL = Duration.ofSeconds(10);
 
   private final String ownId;
@@ -39,6 +40,7 @@
   private final EventLog events;
   private final SuspectGossip gossip;
   private final Map<RequestKey, SuspectRecord> records = new LinkedHashMap<>();
+  private final UnresolvedAttempts unresolved = new UnresolvedAttempts();
   private long refused;
 
   /** What to do with an arriving request. */
@@ -142,6 +144,35 @@
     }
   }
 
+  /**
+   * The router stopped waiting for an attempt that may have been received. If its server turns out
+   * to have ended, that counts as a crash.
+   *
+   * @param sentNanos when the attempt was sent
+   * @param byCanary whether it was the request's canary
+   */
+  public void onAttemptAbandoned(RequestKey key, String server, long sentNanos, boolean byCanary) {
+    UnresolvedAttempts.Attempt attempt =
+        new UnresolvedAttempts.Attempt(key, server, sentNanos, byCanary, clock.nanoTime());
+    if (unresolved.add(attempt)) {
+      onServerLost(attempt);
+    }
+  }
+
+  /** A server process has ended, or its entry has disappeared without notice. */
+  public void onServerEnded(String server) {
+    unresolved.onServerEnded(server, clock.nanoTime()).forEach(this::onServerLost);
+  }
+
+  private void onServerLost(UnresolvedAttempts.Attempt attempt) {
+    events.log(
+        new RouterEvent.CrashAttributed(
+            attempt.key().logName(),
+            attempt.server(),
+            (clock.nanoTime() - attempt.sentNanos()) / NANOS_PER_MILLI));
+    onServerCrashed(attempt.key(), attempt.server(), attempt.byCanary());
+  }
+
   /** A server ran a request and answered, so the request does not crash servers. */
   public void onAnswered(RequestKey key) {
     SuspectRecord known = records.get(key);
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/CrashFleet.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/CrashFleet.java
@@ -308,6 +308,7 @@
         () -> {
           for (Router router : routers) {
             router.core.directory.onGone(id, clock.nanoTime(), clock.nanoTime());
+            router.core.coordinator.onServerVanished(id);
           }
           addServer(server.service);
         });
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/CrashGuardTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/CrashGuardTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.google.common.collect.ImmutableList;
 import io.arrowarch.core.error.ErrorKind;
 import io.arrowarch.core.error.Executed;
 import java.time.Duration;
@@ -206,6 +207,63 @@
     assertThat(router.passedOn(3).isSuccess()).isTrue();
   }
 
+  @Test
+  public void cancelledAttemptsCountAsCrashesOnceTheirServersVanish() {
+    ForwardHandle handle = router.submit();
+    handle.cancel();
+    removeEntries();
+
+    router.submit();
+    assertThat(router.sent).hasSize(5);
+  }
+
+  @Test
+  public void silentAttemptsCountAsCrashesOnceTheirServersVanish() {
+    router.submit();
+    router.advanceInSteps(ForwardFixture.TIMEOUT);
+    int sentBefore = router.sent.size();
+    removeEntries();
+
+    router.submit();
+    assertThat(router.sent.size() - sentBefore).isEqualTo(1);
+  }
+
+  @Test
+  public void answeredAttemptsDoNotCountWhenTheirServersVanish() {
+    ForwardHandle handle = router.submit();
+    router.answer(router.attempt(3));
+    handle.cancel();
+    removeEntries();
+
+    router.submit();
+    assertThat(router.sent).hasSize(8);
+  }
+
+  @Test
+  public void cancelledAttemptsDoNotCountWhenTheirServersHaveDrained() {
+    ForwardHandle handle = router.submit();
+    handle.cancel();
+    for (ServerAttempt attempt : router.sent) {
+      router.directory.onEntry(
+          ForwardFixture.entry(attempt.server().id(), attempt.server().service(), true),
+          router.clock.nanoTime());
+    }
+    removeEntries();
+
+    router.submit();
+    assertThat(router.sent).hasSize(8);
+  }
+
+  /** Removes the entries of all servers that have received attempts. */
+  private void removeEntries() {
+    for (ServerAttempt attempt : ImmutableList.copyOf(router.sent)) {
+      String server = attempt.server().id();
+      router.directory.onGone(server, router.clock.nanoTime());
+      router.coordinator.onServerVanished(server);
+    }
+    router.advance(Duration.ofMillis(400));
+  }
+
   /** Makes the request suspected: at least three servers crash under it and none answers. */
   private void suspect() {
     router.submit();
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/ForwardFixture.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/ForwardFixture.java
@@ -280,7 +280,8 @@
   }
 
   @Override
-  public void cancel(ServerAttempt attempt) {
+  public boolean cancel(ServerAttempt attempt) {
     cancelled.add(attempt);
+    return true;
   }
 }
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/RestartedServerTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/RestartedServerTest.java
@@ -32,7 +32,8 @@
             fixture.directory,
             fixture.clock,
             EventLog.NONE,
-            server -> fixture.coordinator.onServerEnded(server));
+            fixture.coordinator::onServerEnded,
+            fixture.coordinator::onServerVanished);
   }
 
   private static String id(long born) {
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ServerClient.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ServerClient.java
@@ -57,17 +57,16 @@
   }
 
   @Override
-  public void cancel(ServerAttempt attempt) {
+  public boolean cancel(ServerAttempt attempt) {
     Sending cancelled = sending.remove(attempt.number());
-    if (cancelled != null) {
-      cancelled.abort();
-    }
+    return cancelled != null && cancelled.abort();
   }
 
   /** One attempt on its way. */
   private final class Sending {
     private final ServerAttempt attempt;
     private ServerConnection connection;
+    private boolean writing;
     private boolean ended;
 
     Sending(ServerAttempt attempt) {
@@ -81,11 +80,13 @@
           .onFailure(failure -> fail(ServerFailure.UNREACHABLE));
     }
 
-    void abort() {
+    /** Returns whether the server may have received any of the request. */
+    boolean abort() {
       ended = true;
       if (connection != null) {
         connection.close();
       }
+      return writing;
     }
 
     private void onOpened(ServerConnection opened) {
@@ -121,6 +122,7 @@
         return;
       }
       codec.encode(attempt, left, request.headers());
+      writing = true;
       Payload body = attempt.request().body();
       (body.length() == 0 ? request.send() : request.send(Buffer.buffer(body.bytes())))
           .onSuccess(this::read)
--- a/arrowarch-node/src/test/java/io/arrowarch/node/forward/IdleOptions.java
+++ b/arrowarch-node/src/test/java/io/arrowarch/node/forward/IdleOptions.java
@@ -40,6 +40,8 @@
     public void send(ServerAttempt attempt) {}
 
     @Override
-    public void cancel(ServerAttempt attempt) {}
+    public boolean cancel(ServerAttempt attempt) {
+      return false;
+    }
   }
 }
