Crashing requests: a server error does not clear a request

What callers saw: beside servers that answer part of their requests with errors, a crashing request reached servers again and again.

Cause: any signed answer that did not say 'not run' cleared a request and hid its crashes for 30 s, a 500 or 504 too. Such an answer may come from a server that is sick, or that only queued the request until its deadline, and says nothing about what the request does to a server that runs it.

Why it works: only an answer below 500 shows that a server ran the request and lives. A canary that gets a server error counts as one without a result, as silence does.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/AttemptSender.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/AttemptSender.java
@@ -194,7 +194,7 @@
       ended.execution().recordLatency(nowNanos - ended.open().startNanos(), nowNanos);
     }
     ended.part().onEnded(number, !reply.notRun());
-    if (reply.hasRun()) {
+    if (reply.showsSurvival()) {
       ended.execution().monitor().onAnswered();
     }
     if (reply.misdirected()) {
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/CrashGuard.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/CrashGuard.java
@@ -89,9 +89,9 @@
   }
 
   /**
-   * Runs a suspected request on one server first. If that server answers a search, with a success
-   * or an error, the whole search is run as usual. If no server answers, or if the route leads to
-   * one server, the canary's outcome is the outcome of the request.
+   * Runs a suspected request on one server first. If that server answers a search otherwise than
+   * with a server error, the whole search is run as usual. If no server answers, or if the route
+   * leads to one server, the canary's outcome is the outcome of the request.
    */
   private final class Canary implements ForwardHandle {
     private final ForwardedRequest request;
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/RequestMonitor.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/RequestMonitor.java
@@ -73,14 +73,14 @@
     return canary ? standing == Standing.QUARANTINED : standing != Standing.FREE;
   }
 
-  /** Whether a server has answered the request. */
+  /** Whether an answer has shown that a server survives the request. */
   boolean isAnswered() {
     return answered;
   }
 
   /**
-   * Called when a server has answered, with a success or an error: the request does not crash
-   * servers.
+   * Called when a server has answered otherwise than with a server error: the request does not
+   * crash servers.
    */
   void onAnswered() {
     answered = true;
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ServerReply.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ServerReply.java
@@ -33,9 +33,12 @@
     return status >= FIRST_SUCCESS && status < FIRST_REDIRECT && signature.isPresent();
   }
 
-  /** Whether the server guarantees that it ran the request to its end, successfully or not. */
-  boolean hasRun() {
-    return answersRequest && signature.isPresent() && !notRun && !misdirected;
+  /**
+   * Whether the reply shows that the server has run the request and survived. A server error does
+   * not: a sick or full server may send it without having begun.
+   */
+  boolean showsSurvival() {
+    return answersRequest && signature.isPresent() && !notRun && !misdirected && !isServerFailure();
   }
 
   /** Whether it is a server error (5xx), so that another server may succeed. */
