Crashing requests: first crashes are remembered as long as a suspicion

What callers saw: a crashing request that comes once in a while never became suspected; each time it crashed the servers that ran it.

Cause: a record with one or two crashes was removed 30 s after the request was last seen.

The number of records stays bounded.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/suspect/SuspectRecord.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/suspect/SuspectRecord.java
@@ -15,8 +15,7 @@
   /**
    * For how long crashes of servers that were running a request are ignored after an answer to it.
    * Crashes that another request caused while this one was in flight may be reported late. A
-   * request that is neither suspected nor quarantined is remembered for the same time after it was
-   * last seen.
+   * request without crashes is remembered for the same time after it was last seen.
    */
   private static final Duration CLEARANCE_PERIOD = Duration.ofSeconds(30);
 
@@ -206,10 +205,13 @@
         key.text(), kind.wireName(), ImmutableList.copyOf(crashedServers), age);
   }
 
-  /** Whether the record can be removed. */
+  /**
+   * Whether the record can be removed. The first crashes of a request are kept as long as a
+   * suspicion: the next one may come much later.
+   */
   boolean isExpired(long nowNanos) {
-    boolean free = standing(nowNanos) == Standing.FREE;
-    Duration kept = free ? CLEARANCE_PERIOD : rules.retentionPeriod();
+    boolean holdsNoCrash = crashedServers.isEmpty() && quarantinedNanos == NEVER;
+    Duration kept = holdsNoCrash ? CLEARANCE_PERIOD : rules.retentionPeriod();
     return nowNanos - lastSeenNanos > kept.toNanos();
   }
 }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/suspect/SuspectRules.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/suspect/SuspectRules.java
@@ -12,8 +12,8 @@
  *     a crashing request
  * @param quarantinePeriod how long a request is quarantined after it crashed the server of its
  *     canary, or after three canaries without a result
- * @param retentionPeriod how long a suspected or quarantined request is remembered after it was
- *     last seen
+ * @param retentionPeriod how long a request that crashed servers is remembered after it was last
+ *     seen
  * @param maximumRequests maximum number of remembered requests; the one seen longest ago is evicted
  *     first
  */
