Crashing requests: an answer clears only attempts that were sent before it

What callers saw: a request that had been cleared, and crashed servers from then on, did so for 30 s at all routers.

Cause: an answer made routers ignore all crashes of a request for 30 s, whenever it had been sent, and a clearance from another router wiped crashes that were newer than it.

Why it works: each crash keeps when the request was sent to that server. An answer excuses what was sent before it, which is what the 30 s were for: other requests' crashes that are noticed late. Reports carry the age of the newest sending; the format is the same.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/AttemptSender.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/AttemptSender.java
@@ -214,7 +214,7 @@
     directory.onEnded(server, number, verdictOf(failure), 0, nowNanos);
     ended.part().onEnded(number, failure.mayHaveRun());
     if (failure == ServerFailure.BROKEN) {
-      ended.execution().monitor().onConnectionBroken(server);
+      ended.execution().monitor().onConnectionBroken(server, ended.open().startNanos());
     } else if (failure.mayHaveRun()) {
       abandon(ended);
     }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/RequestMonitor.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/RequestMonitor.java
@@ -93,9 +93,9 @@
    * Called when a connection broke while the request was open there: it may have crashed the
    * server.
    */
-  void onConnectionBroken(String server) {
+  void onConnectionBroken(String server, long sentNanos) {
     if (!answered) {
-      suspects.onServerCrashed(key(), server, canary);
+      suspects.onServerCrashed(key(), server, sentNanos, canary);
     }
   }
 
--- a/arrowarch-core/src/main/java/io/arrowarch/core/peer/PeerBody.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/peer/PeerBody.java
@@ -135,7 +135,8 @@
    * @param kind ends, quarantine or clearance
    * @param servers that crashed while running it; as many as make it suspected, or a few more if
    *     canaries crashed servers
-   * @param ageMillis time since the newest of these crashes, or since the quarantine or clearance
+   * @param ageMillis time since the request was last sent to one of these servers, or since the
+   *     quarantine or clearance
    */
   record SuspectReport(String request, String kind, List<String> servers, long ageMillis) {
     public SuspectReport {
--- a/arrowarch-core/src/main/java/io/arrowarch/core/suspect/SuspectRecord.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/suspect/SuspectRecord.java
@@ -3,9 +3,8 @@
 import com.google.common.collect.ImmutableList;
 import io.arrowarch.core.peer.PeerBody;
 import java.time.Duration;
-import java.util.LinkedHashSet;
+import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
 
 /**
  * The crashes, answers and canaries of one request, as this router knows them. Times are readings
@@ -13,11 +12,10 @@
  */
 final class SuspectRecord {
   /**
-   * For how long crashes of servers that were running a request are ignored after an answer to it.
-   * Crashes that another request caused while this one was in flight may be reported late. A
-   * request without crashes is remembered for the same time after it was last seen.
+   * How long a request without crashes is remembered after it was last seen. Crashes that another
+   * request caused while this one was in flight may be reported late.
    */
-  private static final Duration CLEARANCE_PERIOD = Duration.ofSeconds(30);
+  private static final Duration CLEARANCE_RETENTION = Duration.ofSeconds(30);
 
   /** Number of canaries without an answer or a crash at which the request is quarantined. */
   private static final int MAXIMUM_INCONCLUSIVE_CANARIES = 3;
@@ -31,14 +29,20 @@
   private static final long NEVER = Long.MIN_VALUE;
 
   private final SuspectRules rules;
-  private final Set<String> crashedServers = new LinkedHashSet<>();
-  private long newestCrashNanos = NEVER;
+  private final List<Crash> crashes = new ArrayList<>();
   private long quarantinedNanos = NEVER;
   private long clearedNanos = NEVER;
   private long lastSeenNanos;
   private int inconclusiveCanaries;
   private boolean canaryRunning;
 
+  /**
+   * A crash of a server that was running the request.
+   *
+   * @param sentNanos when the request was sent to it
+   */
+  private record Crash(String server, long sentNanos) {}
+
   SuspectRecord(SuspectRules rules, long nowNanos) {
     this.rules = rules;
     this.lastSeenNanos = nowNanos;
@@ -49,13 +53,13 @@
         && nowNanos - quarantinedNanos < rules.quarantinePeriod().toNanos()) {
       return Standing.QUARANTINED;
     }
-    return quarantinedNanos != NEVER || crashedServers.size() >= rules.crashesToSuspect()
+    return quarantinedNanos != NEVER || crashes.size() >= rules.crashesToSuspect()
         ? Standing.SUSPECTED
         : Standing.FREE;
   }
 
   int crashCount() {
-    return crashedServers.size();
+    return crashes.size();
   }
 
   long lastSeenNanos() {
@@ -73,7 +77,11 @@
   /** Whether any router may run a canary, not only the responsible one. */
   boolean anyRouterMayRunCanary(long nowNanos) {
     return quarantinedNanos == NEVER
-        && nowNanos - newestCrashNanos < rules.canaryPeriod().toNanos();
+        && nowNanos - newestSentNanos() < rules.canaryPeriod().toNanos();
+  }
+
+  private long newestSentNanos() {
+    return crashes.stream().mapToLong(Crash::sentNanos).max().orElse(NEVER);
   }
 
   void onCanaryStarted() {
@@ -98,31 +106,33 @@
   }
 
   /**
-   * A server crashed while the request was open there.
+   * A server crashed while the request was open there. An answer to the request that came after it
+   * was sent there shows that something else crashed the server.
    *
+   * @param sentNanos when the request was sent to the server
    * @param byCanary whether the server ran the canary
    * @return whether the record changed
    */
-  boolean onServerCrashed(String server, boolean byCanary, long crashNanos) {
-    lastSeenNanos = Math.max(lastSeenNanos, crashNanos);
-    if (isCleared(crashNanos)) {
+  boolean onServerCrashed(String server, long sentNanos, boolean byCanary, long nowNanos) {
+    lastSeenNanos = Math.max(lastSeenNanos, nowNanos);
+    if (isCleared(sentNanos)) {
       return false;
     }
     if (byCanary) {
       canaryRunning = false;
-      crashedServers.add(server);
-      quarantine(crashNanos);
+      boolean unused = add(server, sentNanos);
+      quarantine(nowNanos);
       return true;
     }
-    return crashedServers.size() < rules.crashesToSuspect() && add(server, crashNanos);
+    return crashes.size() < rules.crashesToSuspect() && add(server, sentNanos);
   }
 
-  private boolean add(String server, long crashNanos) {
-    boolean added = crashedServers.add(server);
-    if (added) {
-      newestCrashNanos = Math.max(newestCrashNanos, crashNanos);
+  private boolean add(String server, long sentNanos) {
+    boolean known = crashes.stream().anyMatch(crash -> crash.server().equals(server));
+    if (!known) {
+      crashes.add(new Crash(server, sentNanos));
     }
-    return added;
+    return !known;
   }
 
   private void quarantine(long nanos) {
@@ -131,7 +141,8 @@
   }
 
   /**
-   * A server ran the request and answered.
+   * A server ran the request and answered. Crashes to which the request was sent later, and a later
+   * quarantine, still count.
    *
    * @return whether the record changed
    */
@@ -139,24 +150,26 @@
     if (nanos <= clearedNanos) {
       return false;
     }
-    boolean changed = !crashedServers.isEmpty() || quarantinedNanos != NEVER;
     clearedNanos = nanos;
-    crashedServers.clear();
-    newestCrashNanos = NEVER;
-    quarantinedNanos = NEVER;
+    boolean changed = crashes.removeIf(crash -> crash.sentNanos() <= nanos);
+    if (quarantinedNanos != NEVER && quarantinedNanos <= nanos) {
+      quarantinedNanos = NEVER;
+      changed = true;
+    }
     inconclusiveCanaries = 0;
     canaryRunning = false;
     return changed;
   }
 
   private boolean isCleared(long nanos) {
-    return clearedNanos != NEVER && nanos - clearedNanos < CLEARANCE_PERIOD.toNanos();
+    return nanos <= clearedNanos;
   }
 
   /**
    * Merges a report of another router.
    *
-   * @param asOfNanos when the newest reported crash, answer or quarantine happened
+   * @param asOfNanos when the request was last sent to one of the crashed servers, or when it was
+   *     answered or quarantined
    * @return whether the record changed
    */
   boolean merge(ReportKind kind, List<String> servers, long asOfNanos) {
@@ -168,11 +181,11 @@
     };
   }
 
-  private boolean addAll(List<String> servers, long crashNanos) {
+  private boolean addAll(List<String> servers, long sentNanos) {
     boolean changed = false;
     for (String server : servers) {
-      if (crashedServers.size() < rules.crashesToSuspect()) {
-        changed |= add(server, crashNanos);
+      if (crashes.size() < rules.crashesToSuspect()) {
+        changed |= add(server, sentNanos);
       }
     }
     return changed;
@@ -193,16 +206,19 @@
     ReportKind kind =
         quarantinedNanos != NEVER
             ? ReportKind.QUARANTINE
-            : crashedServers.isEmpty() ? ReportKind.CLEARANCE : ReportKind.ENDS;
+            : crashes.isEmpty() ? ReportKind.CLEARANCE : ReportKind.ENDS;
     long asOfNanos =
         switch (kind) {
           case QUARANTINE -> quarantinedNanos;
           case CLEARANCE -> clearedNanos;
-          case ENDS -> newestCrashNanos;
+          case ENDS -> newestSentNanos();
         };
     long age = Duration.ofNanos(Math.max(0, nowNanos - asOfNanos)).toMillis();
     return new PeerBody.SuspectReport(
-        key.text(), kind.wireName(), ImmutableList.copyOf(crashedServers), age);
+        key.text(),
+        kind.wireName(),
+        crashes.stream().map(Crash::server).collect(ImmutableList.toImmutableList()),
+        age);
   }
 
   /**
@@ -210,8 +226,8 @@
    * suspicion: the next one may come much later.
    */
   boolean isExpired(long nowNanos) {
-    boolean holdsNoCrash = crashedServers.isEmpty() && quarantinedNanos == NEVER;
-    Duration kept = holdsNoCrash ? CLEARANCE_PERIOD : rules.retentionPeriod();
+    boolean holdsNoCrash = crashes.isEmpty() && quarantinedNanos == NEVER;
+    Duration kept = holdsNoCrash ? CLEARANCE_RETENTION : rules.retentionPeriod();
     return nowNanos - lastSeenNanos > kept.toNanos();
   }
 }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/suspect/SuspectRequests.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/suspect/SuspectRequests.java
@@ -133,13 +133,14 @@
   /**
    * A server crashed while a request was open there, as far as its connection shows.
    *
+   * @param sentNanos when the request was sent to it
    * @param byCanary whether the server ran the request's canary
    */
-  public void onServerCrashed(RequestKey key, String server, boolean byCanary) {
+  public void onServerCrashed(RequestKey key, String server, long sentNanos, boolean byCanary) {
     long nowNanos = clock.nanoTime();
     SuspectRecord known = recordOf(key, nowNanos);
     Standing before = known.standing(nowNanos);
-    if (known.onServerCrashed(server, byCanary, nowNanos)) {
+    if (known.onServerCrashed(server, sentNanos, byCanary, nowNanos)) {
       onChanged(key, known, before, ownId, nowNanos);
     }
   }
@@ -170,7 +171,7 @@
             attempt.key().logName(),
             attempt.server(),
             (clock.nanoTime() - attempt.sentNanos()) / NANOS_PER_MILLI));
-    onServerCrashed(attempt.key(), attempt.server(), attempt.byCanary());
+    onServerCrashed(attempt.key(), attempt.server(), attempt.sentNanos(), attempt.byCanary());
   }
 
   /** A server ran a request and answered, so the request does not crash servers. */
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/CrashFleet.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/CrashFleet.java
@@ -42,6 +42,9 @@
   /** When requests first reached a server, by path; one entry per caller's request. */
   final Map<String, List<Long>> arrivalNanos = new HashMap<>();
 
+  /** Whether requests to {@link #CRASHING} crash servers at the moment. */
+  boolean crashing = true;
+
   /** Whether crashed servers fall silent, so that no connection to them breaks. */
   boolean silentCrashes;
 
@@ -274,7 +277,7 @@
     server.open.put(attempt, by);
     simulatedEvents.schedule(
         clock.nanoTime() + SERVICE_TIME.toNanos(),
-        () -> finish(server, attempt, path.startsWith(CRASHING)));
+        () -> finish(server, attempt, crashing && path.startsWith(CRASHING)));
   }
 
   private void finish(Server server, ServerAttempt attempt, boolean crashes) {
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/CrashingRequestTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/CrashingRequestTest.java
@@ -80,6 +80,22 @@
     assertThat(fleet.arrivalsAfterThirdCrash(CrashFleet.CRASHING)).isLessThanOrEqualTo(3);
   }
 
+  /** An answer shows nothing about attempts that are sent after it. */
+  @Test
+  public void requestThatBecomesCrashingAfterItWasClearedReachesNoServerOnceKnown() {
+    CrashFleet fleet = new CrashFleet(4, 6, 0, 1);
+    fleet.crashing = false;
+    fleet.routers.get(0).sendRequest(CrashFleet.CRASHING);
+    fleet.advance(Duration.ofMillis(5));
+    fleet.crashServers(4);
+    fleet.advance(Duration.ofSeconds(3));
+    fleet.crashing = true;
+    resubmit(fleet, RESUBMISSION_INTERVAL);
+
+    assertThat(fleet.ends(CrashFleet.CRASHING)).isGreaterThanOrEqualTo(3);
+    assertThat(fleet.arrivalsAfterThirdCrash(CrashFleet.CRASHING)).isLessThanOrEqualTo(3);
+  }
+
   /** Its first crashes are forgotten before the next ones. */
   @Test
   public void crashingRequestThatIsResubmittedEveryFiftySecondsReachesNoServerOnceKnown() {
