Crashing requests: a server that crashes again under its id counts again

What callers saw: where servers start again under their ids, a crashing request went on reaching them: two or three servers crashed over and over, and the routers counted each once.

Cause: crashes were counted by the server's id. Until the store tells of the new process (or where its entry states no start time), the id is that of the process before.

Evidence: CrashingRequestTest, two routers' views: 17 and 20 submissions reached servers before (3 allowed), at most 3 now. Why it works: what was sent to an id after the router learned of its crash was sent to another process. Between routers, a server that crashed twice stands twice in a report; a report of one crash has its exact time.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/suspect/SuspectRecord.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/suspect/SuspectRecord.java
@@ -1,9 +1,11 @@
 package io.arrowarch.core.suspect;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import io.arrowarch.core.peer.PeerBody;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 
 /**
@@ -40,8 +42,14 @@
    * A crash of a server that was running the request.
    *
    * @param sentNanos when the request was sent to it
+   * @param seenNanos when this router learned of it. What is sent to the server later reaches
+   *     another process, although the router may not know its new id yet.
    */
-  private record Crash(String server, long sentNanos) {}
+  private record Crash(String server, long sentNanos, long seenNanos) {
+    boolean isOf(String other, long otherSentNanos) {
+      return server.equals(other) && otherSentNanos <= seenNanos;
+    }
+  }
 
   SuspectRecord(SuspectRules rules, long nowNanos) {
     this.rules = rules;
@@ -120,17 +128,17 @@
     }
     if (byCanary) {
       canaryRunning = false;
-      boolean unused = add(server, sentNanos);
+      boolean unused = add(server, sentNanos, nowNanos);
       quarantine(nowNanos);
       return true;
     }
-    return crashes.size() < rules.crashesToSuspect() && add(server, sentNanos);
+    return crashes.size() < rules.crashesToSuspect() && add(server, sentNanos, nowNanos);
   }
 
-  private boolean add(String server, long sentNanos) {
-    boolean known = crashes.stream().anyMatch(crash -> crash.server().equals(server));
+  private boolean add(String server, long sentNanos, long nowNanos) {
+    boolean known = crashes.stream().anyMatch(crash -> crash.isOf(server, sentNanos));
     if (!known) {
-      crashes.add(new Crash(server, sentNanos));
+      crashes.add(new Crash(server, sentNanos, nowNanos));
     }
     return !known;
   }
@@ -168,31 +176,42 @@
   /**
    * Merges a report of another router.
    *
+   * @param servers those that crashed; one that crashed twice under the same id stands there twice
    * @param asOfNanos when the request was last sent to one of the crashed servers, or when it was
    *     answered or quarantined
    * @return whether the record changed
    */
-  boolean merge(ReportKind kind, List<String> servers, long asOfNanos) {
+  boolean merge(ReportKind kind, List<String> servers, long asOfNanos, long nowNanos) {
     lastSeenNanos = Math.max(lastSeenNanos, asOfNanos);
     return switch (kind) {
       case CLEARANCE -> onAnswered(asOfNanos);
-      case ENDS -> !isCleared(asOfNanos) && addAll(servers, asOfNanos);
-      case QUARANTINE -> !isCleared(asOfNanos) && mergeQuarantine(servers, asOfNanos);
+      case ENDS -> !isCleared(asOfNanos) && addAll(servers, asOfNanos, nowNanos);
+      case QUARANTINE -> !isCleared(asOfNanos) && mergeQuarantine(servers, asOfNanos, nowNanos);
     };
   }
 
-  private boolean addAll(List<String> servers, long sentNanos) {
+  private boolean addAll(List<String> servers, long sentNanos, long nowNanos) {
+    if (servers.size() == 1) {
+      // Only then is the time that of this very crash.
+      return crashes.size() < rules.crashesToSuspect() && add(servers.get(0), sentNanos, nowNanos);
+    }
     boolean changed = false;
-    for (String server : servers) {
-      if (crashes.size() < rules.crashesToSuspect()) {
-        changed |= add(server, sentNanos);
+    for (String server : ImmutableSet.copyOf(servers)) {
+      int missing = Collections.frequency(servers, server) - crashesOf(server);
+      for (int i = 0; i < missing && crashes.size() < rules.crashesToSuspect(); i++) {
+        crashes.add(new Crash(server, sentNanos, nowNanos));
+        changed = true;
       }
     }
     return changed;
   }
 
-  private boolean mergeQuarantine(List<String> servers, long asOfNanos) {
-    boolean unused = addAll(servers, asOfNanos);
+  private int crashesOf(String server) {
+    return (int) crashes.stream().filter(crash -> crash.server().equals(server)).count();
+  }
+
+  private boolean mergeQuarantine(List<String> servers, long asOfNanos, long nowNanos) {
+    boolean unused = addAll(servers, asOfNanos, nowNanos);
     if (quarantinedNanos != NEVER && asOfNanos - quarantinedNanos < SAME_QUARANTINE_NANOS) {
       return false;
     }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/suspect/SuspectRequests.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/suspect/SuspectRequests.java
@@ -225,7 +225,7 @@
     SuspectRecord known = recordOf(key, nowNanos);
     Standing before = known.standing(nowNanos);
     long asOfNanos = nowNanos - Duration.ofMillis(report.ageMillis()).toNanos();
-    if (known.merge(kind.get(), report.servers(), asOfNanos)) {
+    if (known.merge(kind.get(), report.servers(), asOfNanos, nowNanos)) {
       onChanged(key, known, before, by, nowNanos);
     }
   }
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/CrashFleet.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/CrashFleet.java
@@ -45,6 +45,9 @@
   /** Whether requests to {@link #CRASHING} crash servers at the moment. */
   boolean crashing = true;
 
+  /** Whether servers start again under their ids, so that routers do not notice. */
+  boolean restartUnderSameId;
+
   /** Whether crashed servers fall silent, so that no connection to them breaks. */
   boolean silentCrashes;
 
@@ -309,6 +312,10 @@
     simulatedEvents.schedule(
         clock.nanoTime() + RESTART_DELAY.toNanos(),
         () -> {
+          if (restartUnderSameId) {
+            servers.put(id, new Server(server.service));
+            return;
+          }
           for (Router router : routers) {
             router.core.directory.onGone(id, clock.nanoTime(), clock.nanoTime());
             router.core.coordinator.onServerVanished(id);
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/CrashingRequestTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/CrashingRequestTest.java
@@ -96,6 +96,31 @@
     assertThat(fleet.arrivalsAfterThirdCrash(CrashFleet.CRASHING)).isLessThanOrEqualTo(3);
   }
 
+  /** A server that crashes again under its id has crashed twice. */
+  @Test
+  public void crashesOfServersThatRestartUnderTheirIdsAddUp() {
+    CrashFleet fleet = new CrashFleet(4, 1, 0, 2);
+    fleet.restartUnderSameId = true;
+    resubmit(fleet, Duration.ofSeconds(3));
+
+    assertThat(fleet.ends(CrashFleet.CRASHING)).isGreaterThanOrEqualTo(3);
+    assertThat(fleet.arrivalsAfterThirdCrash(CrashFleet.CRASHING)).isLessThanOrEqualTo(3);
+  }
+
+  /** Each router sees one of the crashes. */
+  @Test
+  public void crashesOfOneServerThatDifferentRoutersSeeAddUp() {
+    CrashFleet fleet = new CrashFleet(12, 1, 0, 2, true);
+    fleet.restartUnderSameId = true;
+    for (int submission = 0; submission < 24; submission++) {
+      fleet.routers.get(submission % 12).sendRequest(CrashFleet.CRASHING);
+      fleet.advance(Duration.ofSeconds(3));
+    }
+
+    assertThat(fleet.ends(CrashFleet.CRASHING)).isGreaterThanOrEqualTo(3);
+    assertThat(fleet.arrivalsAfterThirdCrash(CrashFleet.CRASHING)).isLessThanOrEqualTo(3);
+  }
+
   /** Its first crashes are forgotten before the next ones. */
   @Test
   public void crashingRequestThatIsResubmittedEveryFiftySecondsReachesNoServerOnceKnown() {
