Crashing requests: a canary is seen to its end after its caller has left

What callers saw: a harmless request that was suspected once, and whose callers leave early, was refused for ten minutes after three of them.

Cause: the canary was cancelled with its caller and counted as one without a result; a caller who left late could also end the record of another canary. Evidence: CrashGuardTest.harmlessRequestIsNotQuarantinedWhenItsCallersLeave failed before. Why it works: the canary goes on for 400 ms at most, on its one server, so that its answer clears the request and a crash quarantines it at once. It is cancelled within the half second that servers may work on for a caller who has left.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/CrashGuard.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/CrashGuard.java
@@ -9,6 +9,7 @@
 import io.arrowarch.core.suspect.RequestKey;
 import io.arrowarch.core.suspect.SuspectRequests;
 import io.arrowarch.core.time.RouterClock;
+import io.arrowarch.core.time.TimerQueue;
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -24,11 +25,18 @@
  * request is suspected, no request key is computed.
  */
 final class CrashGuard {
+  /**
+   * How long a canary goes on after its caller has left. Its outcome concerns later callers too,
+   * and it occupies one server only.
+   */
+  private static final Duration CANARY_LINGER = Duration.ofMillis(400);
+
   private static final String DETAIL = "servers that ran this request have ended";
 
   private final SuspectRequests suspects;
   private final Predicate<String> hasServer;
   private final RouterClock clock;
+  private final TimerQueue timers;
   private final RandomGenerator random;
   private final Refusals refusals;
 
@@ -56,11 +64,13 @@
       SuspectRequests suspects,
       Predicate<String> hasServer,
       RouterClock clock,
+      TimerQueue timers,
       RandomGenerator random,
       Refusals refusals) {
     this.suspects = suspects;
     this.hasServer = hasServer;
     this.clock = clock;
+    this.timers = timers;
     this.random = random;
     this.refusals = refusals;
   }
@@ -103,7 +113,9 @@
     private final long startNanos = clock.nanoTime();
     private final RequestMonitor monitor;
     private ForwardHandle running = ForwardHandle.NONE;
+    private boolean ended;
     private boolean passed;
+    private boolean callerLeft;
 
     Canary(
         ForwardedRequest request,
@@ -130,7 +142,11 @@
 
     private void onEnded(Either<QueryError, ForwardedAnswer> outcome) {
       boolean mayHaveRun = outcome.isRight() || outcome.getLeft().executed() != Executed.NO;
+      ended = true;
       suspects.onCanaryEnded(key, mayHaveRun);
+      if (callerLeft) {
+        return;
+      }
       boolean isWhole = route.target() instanceof RouteTarget.OneServer;
       if (isWhole || !monitor.isAnswered()) {
         sink.accept(outcome);
@@ -146,8 +162,19 @@
 
     @Override
     public void cancel() {
-      running.cancel();
-      suspects.onCanaryEnded(key, true);
+      if (ended) {
+        running.cancel();
+        return;
+      }
+      callerLeft = true;
+      timers.schedule(clock.nanoTime() + CANARY_LINGER.toNanos(), this::giveUp);
+    }
+
+    private void giveUp() {
+      if (!ended) {
+        running.cancel();
+        suspects.onCanaryEnded(key, true);
+      }
     }
   }
 
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
@@ -144,7 +144,7 @@
             timers,
             random,
             events);
-    this.crashGuard = new CrashGuard(suspects, this::hasServer, clock, random, refusals);
+    this.crashGuard = new CrashGuard(suspects, this::hasServer, clock, timers, random, refusals);
     this.delegatedSearchHandler =
         new DelegatedSearchHandler(
             this::configuration,
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/CrashGuardTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/CrashGuardTest.java
@@ -116,6 +116,32 @@
     assertThat(router.sent).hasSize(3);
   }
 
+  /** Its canary shows that it is harmless if it is not cancelled with its caller. */
+  @Test
+  public void harmlessRequestIsNotQuarantinedWhenItsCallersLeave() {
+    suspect();
+    for (int submission = 0; submission < 3; submission++) {
+      router.submit().cancel();
+      router.advance(Duration.ofMillis(50));
+      if (!router.cancelled.contains(router.last())) {
+        router.answer(router.last());
+      }
+    }
+    router.sent.clear();
+    router.submit();
+
+    assertThat(router.sent).hasSize(4);
+  }
+
+  @Test
+  public void canaryOfACallerWhoLeftIsCancelledWithinHalfASecond() {
+    suspect();
+    router.submit().cancel();
+    router.advanceInSteps(Duration.ofMillis(500));
+
+    assertThat(router.cancelled).contains(router.last());
+  }
+
   @Test
   public void quarantinedRequestGetsACanaryAfterTheQuarantine() {
     suspect();
