Crashing requests: reports of first crashes are repeated

What callers saw: a request that reaches one server each time, and crashes it, went on when the reports of the first crashes were lost; each router knew of one crash.

Cause: below three crashes a router reported once, 200 ms later, to two routers; nothing repaired a lost datagram, a pause of both, or their replacement. Why it works: the report is repeated while the request has crashes, each time after twice the delay, eight times within a minute, to those who are responsible by then.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/suspect/SuspectGossip.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/suspect/SuspectGossip.java
@@ -20,6 +20,7 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 
 /**
  * Spreads reports about suspected requests by gossip. A router sends each change to a few random
@@ -47,6 +48,9 @@
    */
   private static final Duration FIRST_CRASHES_DELAY = Duration.ofMillis(200);
 
+  /** The delay doubles with each repetition; the last one comes after about half a minute. */
+  private static final int FIRST_CRASHES_REPORTS = 8;
+
   private static final Duration REPAIR_INTERVAL = Duration.ofSeconds(1);
   private static final int ROUTERS_TO_REPAIR = 2;
 
@@ -75,7 +79,11 @@
   private final Function<RequestKey, Optional<PeerBody.SuspectReport>> reports;
   private final Supplier<ImmutableList<RequestKey>> suspectedKeys;
   private final Set<RequestKey> pendingGossip = new LinkedHashSet<>();
-  private final Set<RequestKey> pendingFirstCrashes = new LinkedHashSet<>();
+
+  /** Requests whose first crashes are to be reported, by the number of reports sent before. */
+  private final List<Set<RequestKey>> pendingFirstCrashes =
+      Stream.<Set<RequestKey>>generate(LinkedHashSet::new).limit(FIRST_CRASHES_REPORTS).toList();
+
   private boolean repairScheduled;
 
   /**
@@ -122,13 +130,20 @@
 
   /**
    * Schedules a report to the collecting routers of the first crashes of servers that were running
-   * a request, or of an answer that cleared such crashes.
+   * a request, or of an answer that cleared such crashes. It is repeated as long as the request has
+   * crashes: a report may be lost, and a collecting router may be replaced by another one.
    */
   void reportFirstCrashLater(RequestKey key) {
-    if (pendingFirstCrashes.isEmpty()) {
-      timers.schedule(clock.nanoTime() + FIRST_CRASHES_DELAY.toNanos(), this::sendFirstCrashes);
+    reportFirstCrashLater(key, 0);
+  }
+
+  private void reportFirstCrashLater(RequestKey key, int earlierReports) {
+    Set<RequestKey> pending = pendingFirstCrashes.get(earlierReports);
+    if (pending.isEmpty()) {
+      long delayNanos = FIRST_CRASHES_DELAY.toNanos() << earlierReports;
+      timers.schedule(clock.nanoTime() + delayNanos, () -> sendFirstCrashes(earlierReports));
     }
-    pendingFirstCrashes.add(key);
+    pending.add(key);
   }
 
   /**
@@ -145,15 +160,23 @@
     sample(FANOUT).forEach(address -> send(address, keys));
   }
 
-  private void sendFirstCrashes() {
+  private void sendFirstCrashes(int earlierReports) {
+    ImmutableList<RequestKey> due = ImmutableList.copyOf(pendingFirstCrashes.get(earlierReports));
+    pendingFirstCrashes.get(earlierReports).clear();
     ListMultimap<String, RequestKey> byRouter = ArrayListMultimap.create();
-    for (RequestKey key : pendingFirstCrashes) {
+    for (RequestKey key : due) {
       responsible.others(key).forEach(address -> byRouter.put(address, key));
+      if (earlierReports + 1 < FIRST_CRASHES_REPORTS && hasCrashes(key)) {
+        reportFirstCrashLater(key, earlierReports + 1);
+      }
     }
-    pendingFirstCrashes.clear();
     byRouter.asMap().forEach(this::send);
   }
 
+  private boolean hasCrashes(RequestKey key) {
+    return reports.apply(key).map(report -> !report.servers().isEmpty()).orElse(false);
+  }
+
   private void ask() {
     sample(1).forEach(address -> peers.send(address, new PeerBody.SuspectQuestion()));
   }
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/CrashFleet.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/CrashFleet.java
@@ -62,7 +62,9 @@
   /** Whether requests may run only once, so that each reaches one server. */
   private final boolean runsOnce;
 
-  private final double loss;
+  /** Fraction of messages between routers that are lost. */
+  double loss;
+
   private final int shards;
   private int nextServer;
   private int nextRequest;
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/CrashingRequestTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/CrashingRequestTest.java
@@ -121,6 +121,22 @@
     assertThat(fleet.arrivalsAfterThirdCrash(CrashFleet.CRASHING)).isLessThanOrEqualTo(3);
   }
 
+  /** The only report of each crash is lost. */
+  @Test
+  public void crashesThatDifferentRoutersSeeAddUpAlthoughMessagesAreLostForAMoment() {
+    CrashFleet fleet = new CrashFleet(12, 1, 0, 2, true);
+    for (int submission = 0; submission < 24; submission++) {
+      fleet.loss = 1;
+      fleet.routers.get(submission % 12).sendRequest(CrashFleet.CRASHING);
+      fleet.advance(Duration.ofMillis(500));
+      fleet.loss = 0;
+      fleet.advance(Duration.ofSeconds(3));
+    }
+
+    assertThat(fleet.ends(CrashFleet.CRASHING)).isGreaterThanOrEqualTo(3);
+    assertThat(fleet.arrivalsAfterThirdCrash(CrashFleet.CRASHING)).isLessThanOrEqualTo(3);
+  }
+
   /** Its first crashes are forgotten before the next ones. */
   @Test
   public void crashingRequestThatIsResubmittedEveryFiftySecondsReachesNoServerOnceKnown() {
