Crashing requests: harmless requests do not push out a crashing one

What callers saw: after many requests whose connections broke once, a quarantined request was sent to servers again.

Cause: 1,024 records in one table, of which the least recently seen went first, whatever it said. Evidence: CrashGuardTest, 10,000 other requests with one broken connection each: the quarantined one was sent again before, and is refused now. Why it works: records of requests that may run are kept apart and evicted first; 8,192 records, about 0.6 KB each by their fields (not measured). Eviction takes no scan of the table any more.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/suspect/SuspectRecord.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/suspect/SuspectRecord.java
@@ -70,10 +70,6 @@
     return crashes.size();
   }
 
-  long lastSeenNanos() {
-    return lastSeenNanos;
-  }
-
   void onSeen(long nowNanos) {
     lastSeenNanos = nowNanos;
   }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/suspect/SuspectRequests.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/suspect/SuspectRequests.java
@@ -1,6 +1,5 @@
 package io.arrowarch.core.suspect;
 
-import com.google.common.collect.ImmutableList;
 import io.arrowarch.core.event.EventLog;
 import io.arrowarch.core.event.RouterEvent;
 import io.arrowarch.core.peer.PeerBody;
@@ -9,9 +8,6 @@
 import io.arrowarch.core.time.RouterClock;
 import io.arrowarch.core.time.TimerQueue;
 import java.time.Duration;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
-import java.util.Map;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 
@@ -39,7 +35,7 @@
   private final TimerQueue timers;
   private final EventLog events;
   private final SuspectGossip gossip;
-  private final Map<RequestKey, SuspectRecord> records = new LinkedHashMap<>();
+  private final SuspectTable records;
   private final UnresolvedAttempts unresolved = new UnresolvedAttempts();
   private long refused;
 
@@ -68,9 +64,9 @@
     this.clock = clock;
     this.timers = timers;
     this.events = events;
+    this.records = new SuspectTable(rules.maximumRequests());
     this.gossip =
-        new SuspectGossip(
-            peers, responsible, clock, timers, random, this::report, this::suspectedKeys);
+        new SuspectGossip(peers, responsible, clock, timers, random, this::report, records::held);
   }
 
   /**
@@ -88,10 +84,7 @@
 
   /** Returns how many requests are suspected or quarantined. */
   public long count() {
-    long nowNanos = clock.nanoTime();
-    return records.values().stream()
-        .filter(known -> known.standing(nowNanos) != Standing.FREE)
-        .count();
+    return records.heldCount();
   }
 
   /** Returns how many requests were refused since the start. */
@@ -101,12 +94,15 @@
 
   /** Decides what to do with an arriving request. */
   public Admission admit(RequestKey key) {
-    SuspectRecord known = records.get(key);
     long nowNanos = clock.nanoTime();
-    if (known == null || known.standing(nowNanos) == Standing.FREE) {
+    Optional<SuspectRecord> found =
+        records.find(key).filter(record -> record.standing(nowNanos) != Standing.FREE);
+    if (found.isEmpty()) {
       return Admission.RUN;
     }
+    SuspectRecord known = found.get();
     known.onSeen(nowNanos);
+    records.put(key, known, nowNanos);
     if (known.standing(nowNanos) == Standing.SUSPECTED && mayRunCanary(key, known, nowNanos)) {
       known.onCanaryStarted();
       return Admission.CANARY;
@@ -126,8 +122,8 @@
 
   /** Returns whether a request may be sent to servers. */
   public Standing standing(RequestKey key) {
-    SuspectRecord known = records.get(key);
-    return known == null ? Standing.FREE : known.standing(clock.nanoTime());
+    long nowNanos = clock.nanoTime();
+    return records.find(key).map(known -> known.standing(nowNanos)).orElse(Standing.FREE);
   }
 
   /**
@@ -176,10 +172,10 @@
 
   /** A server ran a request and answered, so the request does not crash servers. */
   public void onAnswered(RequestKey key) {
-    SuspectRecord known = records.get(key);
-    if (known == null) {
-      return;
-    }
+    records.find(key).ifPresent(known -> onAnswered(key, known));
+  }
+
+  private void onAnswered(RequestKey key, SuspectRecord known) {
     long nowNanos = clock.nanoTime();
     Standing before = known.standing(nowNanos);
     if (known.onAnswered(nowNanos)) {
@@ -193,10 +189,10 @@
    * @param mayHaveRun whether the canary may have reached a server
    */
   public void onCanaryEnded(RequestKey key, boolean mayHaveRun) {
-    SuspectRecord known = records.get(key);
-    if (known == null) {
-      return;
-    }
+    records.find(key).ifPresent(known -> onCanaryEnded(key, known, mayHaveRun));
+  }
+
+  private void onCanaryEnded(RequestKey key, SuspectRecord known, boolean mayHaveRun) {
     long nowNanos = clock.nanoTime();
     Standing before = known.standing(nowNanos);
     known.onCanaryEnded(mayHaveRun, nowNanos);
@@ -231,16 +227,16 @@
   }
 
   private SuspectRecord recordOf(RequestKey key, long nowNanos) {
-    SuspectRecord known = records.get(key);
-    if (known == null) {
-      evictExpired(nowNanos);
-      if (records.isEmpty()) {
-        scheduleEviction();
-      }
-      known = new SuspectRecord(rules, nowNanos);
-      records.put(key, known);
+    Optional<SuspectRecord> known = records.find(key);
+    if (known.isPresent()) {
+      return known.get();
     }
-    return known;
+    if (records.isEmpty()) {
+      scheduleEviction();
+    }
+    SuspectRecord added = new SuspectRecord(rules, nowNanos);
+    records.put(key, added, nowNanos);
+    return added;
   }
 
   /** Requests need no key once the last record is gone, so expired ones are removed by a timer. */
@@ -248,35 +244,17 @@
     timers.schedule(
         clock.nanoTime() + EVICTION_INTERVAL.toNanos(),
         () -> {
-          evictExpired(clock.nanoTime());
+          records.removeExpired(clock.nanoTime());
           if (!records.isEmpty()) {
             scheduleEviction();
           }
         });
   }
 
-  private void evictExpired(long nowNanos) {
-    records.values().removeIf(known -> known.isExpired(nowNanos));
-    while (records.size() >= rules.maximumRequests()) {
-      records.remove(leastRecentlySeen());
-    }
-  }
-
-  private RequestKey leastRecentlySeen() {
-    Iterator<Map.Entry<RequestKey, SuspectRecord>> entries = records.entrySet().iterator();
-    Map.Entry<RequestKey, SuspectRecord> oldest = entries.next();
-    while (entries.hasNext()) {
-      Map.Entry<RequestKey, SuspectRecord> next = entries.next();
-      if (next.getValue().lastSeenNanos() < oldest.getValue().lastSeenNanos()) {
-        oldest = next;
-      }
-    }
-    return oldest.getKey();
-  }
-
   private void onChanged(
       RequestKey key, SuspectRecord known, Standing before, String by, long nowNanos) {
     Standing now = known.standing(nowNanos);
+    records.put(key, known, nowNanos);
     if (now != before) {
       events.log(
           new RouterEvent.SuspectChanged(key.logName(), now.logName(), known.crashCount(), by));
@@ -289,15 +267,6 @@
   }
 
   private Optional<PeerBody.SuspectReport> report(RequestKey key) {
-    return Optional.ofNullable(records.get(key)).map(known -> known.report(key, clock.nanoTime()));
-  }
-
-  /** Returns the requests that are suspected or quarantined. */
-  private ImmutableList<RequestKey> suspectedKeys() {
-    long nowNanos = clock.nanoTime();
-    return records.entrySet().stream()
-        .filter(entry -> entry.getValue().standing(nowNanos) != Standing.FREE)
-        .map(Map.Entry::getKey)
-        .collect(ImmutableList.toImmutableList());
+    return records.find(key).map(known -> known.report(key, clock.nanoTime()));
   }
 }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/suspect/SuspectRules.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/suspect/SuspectRules.java
@@ -14,8 +14,8 @@
  *     canary, or after three canaries without a result
  * @param retentionPeriod how long a request that crashed servers is remembered after it was last
  *     seen
- * @param maximumRequests maximum number of remembered requests; the one seen longest ago is evicted
- *     first
+ * @param maximumRequests maximum number of remembered requests. Those that may run are evicted
+ *     first, of these and of the others the one seen longest ago
  */
 public record SuspectRules(
     int crashesToSuspect,
@@ -31,7 +31,7 @@
    */
   public static final SuspectRules DEFAULT =
       new SuspectRules(
-          3, Duration.ofMillis(2_500), Duration.ofMinutes(10), Duration.ofMinutes(30), 1_024);
+          3, Duration.ofMillis(2_500), Duration.ofMinutes(10), Duration.ofMinutes(30), 8_192);
 
   /** Suspects no request. */
   public static final SuspectRules NONE =
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/CrashGuardTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/CrashGuardTest.java
@@ -142,6 +142,22 @@
     assertThat(router.cancelled).contains(router.last());
   }
 
+  @Test
+  public void quarantinedRequestIsNotForgottenForManyOthers() {
+    suspect();
+    router.submit();
+    router.fail(router.last(), ServerFailure.BROKEN);
+    for (int other = 0; other < 10_000; other++) {
+      ForwardHandle handle = router.submit("other", "/other/" + other, ForwardFixture.TIMEOUT);
+      router.fail(router.last(), ServerFailure.BROKEN);
+      handle.cancel();
+    }
+    router.sent.clear();
+    router.submit();
+
+    assertThat(router.sent).isEmpty();
+  }
+
   @Test
   public void quarantinedRequestGetsACanaryAfterTheQuarantine() {
     suspect();
