Crashing requests: repairs reach all suspected requests

What callers saw: with more than 64 suspected requests, a router that had been cut off never learned of the others and sent each of them to servers.

Cause: repairs and answers to routers that start always carried the same first 64.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/suspect/SuspectGossip.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/suspect/SuspectGossip.java
@@ -31,9 +31,8 @@
  * that collect them: there are hundreds of such reports when connections are reset.
  *
  * <p>Reports that were lost, or were sent before a router started, are repaired: while a router
- * knows suspected requests, it regularly reports up to {@value #MAXIMUM_REPORTS_PER_SEND} of them
- * to random peers, always the first ones that it recorded. After its start it asks peers for
- * theirs.
+ * knows suspected requests, it regularly reports some of them to random peers: those seen last and
+ * a random choice of the others. After its start it asks peers for theirs.
  */
 final class SuspectGossip {
   /** With eight peers a change misses about one router in three thousand. */
@@ -68,8 +67,11 @@
   /** A report takes about 120 bytes; this many fit into a datagram. */
   private static final int REPORTS_PER_MESSAGE = 8;
 
-  /** Further requests are left out; those recorded first take precedence. */
-  private static final int MAXIMUM_REPORTS_PER_SEND = 64;
+  /** Further requests are left out; those seen last take precedence. */
+  private static final int MAXIMUM_REPORTS_PER_SEND = 256;
+
+  /** Reports to each peer in one repair. The first half of them is about requests seen last. */
+  private static final int REPORTS_PER_REPAIR = 16;
 
   private final PeerGroup peers;
   private final ResponsibleRouters responsible;
@@ -90,7 +92,8 @@
    * Creates the gossip of a router.
    *
    * @param reports returns the report about a request; empty if nothing is known about it
-   * @param suspectedKeys returns the requests that are suspected or quarantined
+   * @param suspectedKeys returns the requests that are suspected or quarantined, the one seen last
+   *     first
    */
   SuspectGossip(
       PeerGroup peers,
@@ -157,7 +160,7 @@
   private void sendPendingGossip() {
     ImmutableList<RequestKey> keys = ImmutableList.copyOf(pendingGossip);
     pendingGossip.clear();
-    sample(FANOUT).forEach(address -> send(address, keys));
+    sampleRouters(FANOUT).forEach(address -> send(address, keys));
   }
 
   private void sendFirstCrashes(int earlierReports) {
@@ -178,7 +181,7 @@
   }
 
   private void ask() {
-    sample(1).forEach(address -> peers.send(address, new PeerBody.SuspectQuestion()));
+    sampleRouters(1).forEach(address -> peers.send(address, new PeerBody.SuspectQuestion()));
   }
 
   private void scheduleRepair() {
@@ -191,10 +194,20 @@
       repairScheduled = false;
       return;
     }
-    sample(ROUTERS_TO_REPAIR).forEach(address -> send(address, keys));
+    ImmutableList<RequestKey> chosen = chooseForRepair(keys);
+    sampleRouters(ROUTERS_TO_REPAIR).forEach(address -> send(address, chosen));
     scheduleRepair();
   }
 
+  private ImmutableList<RequestKey> chooseForRepair(ImmutableList<RequestKey> keys) {
+    if (keys.size() <= REPORTS_PER_REPAIR) {
+      return keys;
+    }
+    int half = REPORTS_PER_REPAIR / 2;
+    List<RequestKey> others = sample(keys.subList(half, keys.size()), half);
+    return ImmutableList.<RequestKey>builder().addAll(keys.subList(0, half)).addAll(others).build();
+  }
+
   private void send(String address, Collection<RequestKey> keys) {
     List<PeerBody.SuspectReport> found =
         keys.stream()
@@ -207,12 +220,16 @@
     }
   }
 
-  private List<String> sample(int size) {
-    List<LiveRouter> others = new ArrayList<>(peers.liveRouters());
-    int wanted = Math.min(size, others.size());
+  private List<String> sampleRouters(int size) {
+    return sample(peers.liveRouters(), size).stream().map(LiveRouter::address).toList();
+  }
+
+  private <T> List<T> sample(List<T> from, int size) {
+    List<T> shuffled = new ArrayList<>(from);
+    int wanted = Math.min(size, shuffled.size());
     for (int i = 0; i < wanted; i++) {
-      Collections.swap(others, i, i + random.nextInt(others.size() - i));
+      Collections.swap(shuffled, i, i + random.nextInt(shuffled.size() - i));
     }
-    return others.subList(0, wanted).stream().map(LiveRouter::address).toList();
+    return shuffled.subList(0, wanted);
   }
 }
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/SuspectNewsTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/SuspectNewsTest.java
@@ -50,6 +50,32 @@
     assertRefuses(fleet.routers.get(5));
   }
 
+  /** It is told of requests that came lately, and also of the others. */
+  @Test
+  public void partitionedRouterLearnsOfEachOfManyQuarantinedRequests() {
+    fleet.routers.get(5).partitioned = true;
+    int requests = 100;
+    for (int request = 0; request < requests; request++) {
+      for (int router = 0; router < 4; router++) {
+        fleet.routers.get(router).sendRequest(CrashFleet.CRASHING + request);
+        fleet.advance(Duration.ofMillis(2_100));
+      }
+    }
+    fleet.routers.get(5).partitioned = false;
+    fleet.advance(Duration.ofMinutes(3));
+
+    for (int request = 0; request < requests; request++) {
+      String path = CrashFleet.CRASHING + request;
+      int crashesBefore = fleet.ends(path);
+      fleet.routers.get(5).sendRequest(path);
+      fleet.advance(SOON);
+      // The router may be the one that runs the canary.
+      assertThat(fleet.ends(path) - crashesBefore)
+          .as("crashes by request " + request)
+          .isLessThanOrEqualTo(1);
+    }
+  }
+
   @Test
   public void requestClearedByOneRouterRunsAtAllRouters() {
     String harmless = "/sound";
