Servers' replies: unfinished ones take a bounded part of the heap

Cause: each reply could grow to 8 MB, whatever the others held. By that, twelve endless bodies at a time exceed the 96 MB heap that deploy/system.toml gives a router (not run on the old code).

--- a/arrowarch-node/src/main/java/io/arrowarch/node/BoundedBody.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/BoundedBody.java
@@ -23,6 +23,15 @@
 
   private BoundedBody() {}
 
+  /** The replies that are held at the same time take too much memory. */
+  public static final class NoRoomException extends Exception {
+    private static final long serialVersionUID = 1;
+
+    NoRoomException(long heldBytes) {
+      super("unfinished replies take " + heldBytes + " bytes");
+    }
+  }
+
   /** The body is longer than the limit. */
   public static final class TooLongException extends Exception {
     private static final long serialVersionUID = 1;
@@ -60,7 +69,7 @@
                 response.request().reset();
               }
             });
-    read(response, limit, () -> lastNanos.set(System.nanoTime()))
+    read(response, limit, ReplyMemory.unlimited(), () -> lastNanos.set(System.nanoTime()))
         .onSuccess(whole::tryComplete)
         .onFailure(whole::tryFail);
     return whole.future().onComplete(ended -> vertx.cancelTimer(timer));
@@ -68,24 +77,39 @@
 
   /** The whole body; fails and closes the connection when it is longer than the limit. */
   public static Future<Buffer> read(HttpClientResponse response, int limit) {
-    return read(response, limit, () -> {});
+    return read(response, limit, ReplyMemory.unlimited());
   }
 
-  private static Future<Buffer> read(HttpClientResponse response, int limit, Runnable onPiece) {
+  /**
+   * The whole body, as {@link #read(HttpClientResponse, int)}; also fails when all unfinished
+   * replies together take too much memory.
+   */
+  public static Future<Buffer> read(HttpClientResponse response, int limit, ReplyMemory memory) {
+    return read(response, limit, memory, () -> {});
+  }
+
+  private static Future<Buffer> read(
+      HttpClientResponse response, int limit, ReplyMemory memory, Runnable onPiece) {
     Promise<Buffer> promise = Promise.promise();
     Buffer body = Buffer.buffer();
     response.handler(
         chunk -> {
           onPiece.run();
+          if (promise.future().isComplete()) {
+            return;
+          }
           if (body.length() + chunk.length() > limit) {
             promise.tryFail(new TooLongException(limit));
             response.request().reset();
+          } else if (!memory.tryTake(body.length(), chunk.length())) {
+            promise.tryFail(new NoRoomException(memory.heldBytes()));
+            response.request().reset();
           } else {
             body.appendBuffer(chunk);
           }
         });
     response.exceptionHandler(promise::tryFail);
     response.endHandler(end -> promise.tryComplete(body));
-    return promise.future();
+    return promise.future().onComplete(ended -> memory.release(body.length()));
   }
 }
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardWarmUp.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardWarmUp.java
@@ -16,6 +16,7 @@
 import io.arrowarch.core.store.StoreRevision;
 import io.arrowarch.core.time.TimerQueue;
 import io.arrowarch.node.EventLoopDriver;
+import io.arrowarch.node.ReplyMemory;
 import io.arrowarch.node.SocketAddressSetting;
 import io.arrowarch.node.SystemClock;
 import io.vertx.core.Context;
@@ -100,7 +101,8 @@
             vertx, context, () -> timers.runDue(System.nanoTime()), timers::nextDueNanos);
     ServerConnections connections = new ServerConnections(vertx);
     ServerClient servers =
-        new ServerClient(driver, () -> router().coordinator(), attemptCodec, connections);
+        new ServerClient(
+            driver, () -> router().coordinator(), attemptCodec, connections, ReplyMemory.ofHeap());
     this.router =
         new ForwardingRouter(
             options,
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
@@ -11,6 +11,7 @@
 import io.arrowarch.core.time.TimerQueue;
 import io.arrowarch.node.EventLoopDriver;
 import io.arrowarch.node.PeerEndpoint;
+import io.arrowarch.node.ReplyMemory;
 import io.arrowarch.node.SocketAddressSetting;
 import io.arrowarch.node.SystemClock;
 import io.vertx.core.Future;
@@ -119,7 +120,8 @@
             vertx, context, () -> timers.runDue(System.nanoTime()), timers::nextDueNanos);
     ServerConnections connections = new ServerConnections(vertx);
     ServerClient servers =
-        new ServerClient(driver, () -> router.coordinator(), attemptCodec, connections);
+        new ServerClient(
+            driver, () -> router.coordinator(), attemptCodec, connections, ReplyMemory.ofHeap());
     FeedServer feedServer = new FeedServer(vertx, () -> router.follower(), feedCodec);
     StoreClient store =
         new StoreClient(
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ServerClient.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ServerClient.java
@@ -8,6 +8,7 @@
 import io.arrowarch.core.forward.ServerTransport;
 import io.arrowarch.node.BoundedBody;
 import io.arrowarch.node.EventLoopDriver;
+import io.arrowarch.node.ReplyMemory;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
@@ -31,17 +32,20 @@
   private final Supplier<ForwardCoordinator> coordinator;
   private final AttemptCodec codec;
   private final ServerConnections connections;
+  private final ReplyMemory memory;
   private final Map<Long, Sending> sending = new HashMap<>();
 
   ServerClient(
       EventLoopDriver driver,
       Supplier<ForwardCoordinator> coordinator,
       AttemptCodec codec,
-      ServerConnections connections) {
+      ServerConnections connections,
+      ReplyMemory memory) {
     this.driver = driver;
     this.coordinator = coordinator;
     this.codec = codec;
     this.connections = connections;
+    this.memory = memory;
   }
 
   @Override
@@ -130,7 +134,7 @@
     }
 
     private void read(HttpClientResponse response) {
-      BoundedBody.read(response, BoundedBody.MAXIMUM_REPLY_BYTES)
+      BoundedBody.read(response, BoundedBody.MAXIMUM_REPLY_BYTES, memory)
           .onSuccess(body -> onWhole(response, body))
           .onFailure(failure -> fail(ServerFailure.BROKEN));
     }
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/WarmUpOrigin.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/WarmUpOrigin.java
@@ -9,6 +9,7 @@
 import io.arrowarch.core.peer.LiveRouter;
 import io.arrowarch.core.time.TimerQueue;
 import io.arrowarch.node.EventLoopDriver;
+import io.arrowarch.node.ReplyMemory;
 import io.arrowarch.node.SocketAddressSetting;
 import io.arrowarch.node.SystemClock;
 import io.vertx.core.Context;
@@ -63,7 +64,8 @@
             .createHttpServer(new HttpServerOptions().setHost(ForwardWarmUp.LOOPBACK).setPort(0))
             .requestHandler(new DelegateServer(gathererDriver, () -> gatherer));
     ServerClient servers =
-        new ServerClient(driver, () -> router().coordinator(), attemptCodec, connections);
+        new ServerClient(
+            driver, () -> router().coordinator(), attemptCodec, connections, ReplyMemory.ofHeap());
     this.router =
         new ForwardingRouter(
             options,
