Servers' replies: bytes that are no answer do not count as a crash

What callers saw: a harmless request that a server in trouble answered with bytes without end, or with bytes that are no HTTP, was refused by all routers for ten minutes.

Cause: each end of a connection but one by a wrong id was BROKEN, also when the router itself ended it because of what came: a head or body that is too long, a malformed line. BROKEN is evidence that the server crashed. Why it works: only a connection that the other side or the network closed is BROKEN; the others are GARBLED, which counts as a crash only if the server turns out to have ended. GARBLED parts may go to the same server again, as they did as BROKEN. EndlessBytesTest also checks that each flooded connection ends, after 24 MB at most.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
@@ -305,7 +305,7 @@
 
   void onFailure(PartProgress part, OpenAttempt attempt, ServerFailure failure) {
     if (!finished && !part.isSettled()) {
-      if (failure == ServerFailure.BROKEN) {
+      if (failure == ServerFailure.BROKEN || failure == ServerFailure.GARBLED) {
         part.onAnswerLost(attempt.attempt().server().id());
       }
       handleFailedAttempt(part, attempt, failure.logName(), 0, failure.mayHaveRun());
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/PartProgress.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/PartProgress.java
@@ -58,8 +58,9 @@
   }
 
   /**
-   * Records that a connection broke before the answer was complete. The server may be healthy and
-   * may run the part again, once no other attempt of the part is open.
+   * Records that the answer did not come whole: a connection broke, or bytes came that are no
+   * answer. The server may be healthy and may run the part again, once no other attempt of the part
+   * is open.
    */
   void onAnswerLost(String server) {
     lostAnswerServers.add(server);
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ServerFailure.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ServerFailure.java
@@ -8,9 +8,9 @@
   UNREACHABLE(false),
   /** An idle connection turned out to be closed before anything was written. */
   NOT_WRITTEN(false),
-  /** The connection broke after writing had begun. */
+  /** The server, or the network, broke the connection after writing had begun. */
   BROKEN(true),
-  /** The received bytes are not a valid answer, or not the answer to this request. */
+  /** The received bytes are no answer, too many, or not the answer to this request. */
   GARBLED(true),
   /** No answer had come shortly after the attempt's deadline. */
   SILENT(true);
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ServerClient.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ServerClient.java
@@ -12,8 +12,10 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpClosedException;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
+import java.io.IOException;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
@@ -130,13 +132,23 @@
       Payload body = attempt.request().body();
       (body.length() == 0 ? request.send() : request.send(Buffer.buffer(body.bytes())))
           .onSuccess(this::read)
-          .onFailure(failure -> fail(ServerFailure.BROKEN));
+          .onFailure(failure -> fail(kindOf(failure)));
     }
 
     private void read(HttpClientResponse response) {
       BoundedBody.read(response, BoundedBody.MAXIMUM_REPLY_BYTES, memory)
           .onSuccess(body -> onWhole(response, body))
-          .onFailure(failure -> fail(ServerFailure.BROKEN));
+          .onFailure(failure -> fail(kindOf(failure)));
+    }
+
+    /**
+     * A connection that this router closes because of what came on it does not show that its server
+     * has crashed.
+     */
+    private ServerFailure kindOf(Throwable failure) {
+      return failure instanceof IOException || failure instanceof HttpClosedException
+          ? ServerFailure.BROKEN
+          : ServerFailure.GARBLED;
     }
 
     private void onWhole(HttpClientResponse response, Buffer body) {
