Servers' replies: endless informational responses end their connection

What callers saw: their request waited until its deadline, while the router read as fast as the server wrote: 52 MB in an attempt of 0.5 s (EndlessBytesTest, 103 Early Hints). Cause: 1xx responses are no answer, and nothing counted them. Why it works: after eight of them the attempt fails as GARBLED and the connection is closed. Evidence: EndlessBytesTest with 100, 102 and 103: hold; the bound of 24 MB is not changed for it.

--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ServerClient.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ServerClient.java
@@ -30,6 +30,9 @@
   /** A server takes whole milliseconds; with less it would stop at once. */
   private static final Duration SHORTEST_DEADLINE = Duration.ofMillis(1);
 
+  /** Informational responses (1xx) before an answer; a server that sends more never answers. */
+  private static final int MAXIMUM_INFORMATIONAL = 8;
+
   private final EventLoopDriver driver;
   private final Supplier<ForwardCoordinator> coordinator;
   private final AttemptCodec codec;
@@ -73,6 +76,7 @@
     private final ServerAttempt attempt;
     private ServerConnection connection;
     private boolean writing;
+    private int informational;
     private boolean ended;
 
     Sending(ServerAttempt attempt) {
@@ -129,12 +133,21 @@
       }
       codec.encode(attempt, left, request.headers());
       writing = true;
+      request.continueHandler(received -> onInformational());
+      request.earlyHintsHandler(received -> onInformational());
       Payload body = attempt.request().body();
       (body.length() == 0 ? request.send() : request.send(Buffer.buffer(body.bytes())))
           .onSuccess(this::read)
           .onFailure(failure -> fail(kindOf(failure)));
     }
 
+    private void onInformational() {
+      informational++;
+      if (informational > MAXIMUM_INFORMATIONAL) {
+        fail(ServerFailure.GARBLED);
+      }
+    }
+
     private void read(HttpClientResponse response) {
       BoundedBody.read(response, BoundedBody.MAXIMUM_REPLY_BYTES, memory)
           .onSuccess(body -> onWhole(response, body))
