--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/CrashGuardTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/CrashGuardTest.java
@@ -5,7 +5,12 @@
 import com.google.common.collect.ImmutableList;
 import io.arrowarch.core.error.ErrorKind;
 import io.arrowarch.core.error.Executed;
+import io.arrowarch.core.peer.MemberRecord;
+import io.arrowarch.core.peer.PeerBody;
+import io.arrowarch.core.peer.PeerMessage;
+import io.arrowarch.core.suspect.RequestKey;
 import java.time.Duration;
+import java.util.Optional;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -96,6 +101,32 @@
     assertThat(router.sent).hasSize(1);
   }
 
+  /** A router that was cut off may report an answer long after it came. */
+  @Test
+  public void clearanceThatIsOlderThanTheCrashesDoesNotClear() {
+    router.advance(Duration.ofSeconds(10));
+    suspect();
+    router.coordinator.onPeerMessage(clearance(Duration.ofSeconds(5)));
+    router.submit();
+    assertThat(router.sent).hasSize(1);
+
+    router.advance(Duration.ofMillis(10));
+    router.coordinator.onPeerMessage(clearance(Duration.ZERO));
+    router.submit();
+    assertThat(router.sent).hasSize(5);
+  }
+
+  /** A report of another router that a server answered the request some time ago. */
+  private static PeerMessage clearance(Duration age) {
+    RequestKey key = RequestKey.of("GET", "host", "/path", Optional.empty(), new byte[0]);
+    return new PeerMessage(
+        new MemberRecord("other", "zone-a", "other", 1, 1, 0, MemberRecord.State.ALIVE),
+        new PeerBody.SuspectNotice(
+            ImmutableList.of(
+                new PeerBody.SuspectReport(
+                    key.text(), "clearance", ImmutableList.of(), age.toMillis()))));
+  }
+
   @Test
   public void singleRouterRunsCanaryAlsoLater() {
     suspect();
