--- a/review/standins/Lab.java
+++ b/review/standins/Lab.java
@@ -383,10 +383,22 @@
     out.flush();
   }
 
-  /** A port that is free now. */
+  private static final java.util.Set<Integer> GIVEN = java.util.concurrent.ConcurrentHashMap.newKeySet();
+  private static final int FIRST_PORT = 12_000;
+  private static final int PORTS = 18_000;
+
+  /** A port that is free now, and not one that the system gives to connections or listeners. */
   public static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      return socket.getLocalPort();
+    while (true) {
+      int port = FIRST_PORT + java.util.concurrent.ThreadLocalRandom.current().nextInt(PORTS);
+      if (!GIVEN.add(port)) {
+        continue;
+      }
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+        return socket.getLocalPort();
+      } catch (IOException e) {
+        // Taken; the next one.
+      }
     }
   }
 
