--- a/review/4/BurstOfBodies.java
+++ b/review/4/BurstOfBodies.java
@@ -16,7 +16,7 @@
 public final class BurstOfBodies {
   private static final int BODY = 262_144;
   private static final int TIMEOUT_MS = 8_000;
-  private static final double USUAL_PER_S = 19;
+  private static final double USUAL_PER_S = 18;
   private static final double BURST_X = 1.7;
   private static final double BURST_S = 3.0;
   private static final double BEFORE_S = 10;
