--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
 # Case 4. Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
-# TROUBLE=0: the same without the burst.
+# TROUBLE=0: the same without the entry.
 cd "$(dirname "$0")/../.." || exit 2
-exec java -cp target/review-2 BurstOfBodies review/4/record.txt
+exec java -cp target/review-2 OtherWriter review/4/record.txt
--- a/review/7/StopWhileManyWait.java
+++ b/review/8/StopWhileManyWait.java
@@ -12,7 +12,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Case 7: two routers, servers that are busy all the time, so that requests wait at the routers for a free
+ * Case 8: two routers, servers that are busy all the time, so that requests wait at the routers for a free
  * connection, and are answered well within their time. One router gets SIGTERM. Counts the requests
  * that it had taken and whose connection closed with no answer.
  */
--- a/review/standins/Lab.java
+++ b/review/standins/Lab.java
@@ -523,6 +523,13 @@
       if (process != null) {
         process.destroyForcibly();
       }
+      try {
+        Files.deleteIfExists(settings);
+        Files.deleteIfExists(log);
+        Files.deleteIfExists(settings.getParent());
+      } catch (IOException e) {
+        throw new IllegalStateException(e);
+      }
     }
   }
 
