Store: a deeply nested entry is malformed, and a failed decoding ends its call

Cause: JsonFields builds its tree recursively and the parser allows 1,000 levels; 256 KB of stack overflow at some 900. Try passes a StackOverflowError on, so it left PlatformStore.decode and StoreClient.onAnswer, and the follower's only call had neither an answer nor a failure. No other call followed.

Ruled out: an exception while changes are applied (the follower is not reached); repeated failing watches (the store gets no further call).

Change: JsonFields reads 32 levels at most, so that such an entry is malformed like any other; StoreClient reports a decoder that throws as a failed call and logs it; StoreFollower and EventLoopDriver treat an overflow of the stack like any defect.

Evidence: StoreClientTest.callEndsAsFailedWhenDecodingRunsOutOfStack failed before (10 s without an end).

--- a/arrowarch-core/src/main/java/io/arrowarch/core/feed/StoreFollower.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/feed/StoreFollower.java
@@ -260,7 +260,7 @@
   private void applyOrRetry(Runnable update) {
     try {
       update.run();
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | StackOverflowError e) {
       failures++;
       callAfterBackoff();
       throw e;
--- a/arrowarch-node/src/main/java/io/arrowarch/node/EventLoopDriver.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/EventLoopDriver.java
@@ -48,7 +48,7 @@
     try {
       task.run();
       runTimers.run();
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | StackOverflowError e) {
       // A defect in one event must not stop the timers that answer all other requests.
       Log.logger.atSevere().withCause(e).log("Core: an event failed.");
     } finally {
--- a/arrowarch-node/src/main/java/io/arrowarch/node/JsonFields.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/JsonFields.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.core.StreamReadFeature;
 import com.fasterxml.jackson.core.TreeNode;
 import com.fasterxml.jackson.jr.stree.JacksonJrsTreeCodec;
@@ -30,8 +31,16 @@
  */
 public final class JsonFields {
   private static final JacksonJrsTreeCodec CODEC = new JacksonJrsTreeCodec();
+
+  /** Trees are built recursively, and a deeper one could overflow the stack of an event loop. */
+  private static final int MAXIMUM_NESTING = 32;
+
   private static final JsonFactory FACTORY =
-      JsonFactory.builder().enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION).build();
+      JsonFactory.builder()
+          .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+          .streamReadConstraints(
+              StreamReadConstraints.builder().maxNestingDepth(MAXIMUM_NESTING).build())
+          .build();
 
   private final JrsObject object;
 
@@ -39,7 +48,12 @@
     this.object = object;
   }
 
-  /** Reads a text that holds one object and nothing else. */
+  /**
+   * Reads a text that holds one object and nothing else.
+   *
+   * @throws IOException if the text is anything else, or nests more than {@value #MAXIMUM_NESTING}
+   *     levels
+   */
   public static JsonFields parse(byte[] text) throws IOException {
     try (JsonParser parser = FACTORY.createParser(text)) {
       // The codec fails in ways of its own when there is nothing to read.
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/StoreClient.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/StoreClient.java
@@ -171,9 +171,15 @@
     return BoundedBody.read(vertx, response, BoundedBody.MAXIMUM_DOCUMENT_BYTES, LONGEST_PAUSE);
   }
 
+  /** An answer that cannot be decoded is a failure: without one no other call would follow. */
   private Either<FeedFailure, FeedAnswer> decode(HttpClientResponse response, byte[] body) {
     Optional<String> era = Optional.ofNullable(response.getHeader(codec.eraHeader()));
-    return codec.decode(response.statusCode(), era, body);
+    try {
+      return codec.decode(response.statusCode(), era, body);
+    } catch (RuntimeException | StackOverflowError e) {
+      Log.logger.atSevere().withCause(e).log("Store: an answer could not be decoded.");
+      return Either.left(FeedFailure.NO_ANSWER);
+    }
   }
 
   /** Takes an answer that could be decoded. */
--- a/arrowarch-node/src/test/java/io/arrowarch/node/forward/StoreClientTest.java
+++ b/arrowarch-node/src/test/java/io/arrowarch/node/forward/StoreClientTest.java
@@ -48,6 +48,7 @@
   private final List<HttpConnection> connections = new ArrayList<>();
   private final Set<HttpConnection> silent = new HashSet<>();
   private final List<HttpServerRequest> requests = new ArrayList<>();
+  private final NoContents codec = new NoContents();
   private Vertx vertx;
   private Context context;
   private HttpServer store;
@@ -59,6 +60,7 @@
   @BeforeMethod
   public void start() {
     vertx = Vertx.vertx();
+    codec.exhaustsStack = false;
     context = vertx.getOrCreateContext();
     store = join(context, this::listen);
     EventLoopDriver driver =
@@ -68,7 +70,7 @@
             vertx,
             driver,
             StoreClientTest::follower,
-            new NoContents(),
+            codec,
             new SocketAddressSetting("127.0.0.1", store.actualPort()),
             () -> {});
   }
@@ -98,6 +100,14 @@
     assertThat(silent).hasSize(2).doesNotContain(last.connection());
   }
 
+  /** A call whose answer cannot be decoded must end as failed; otherwise no other call follows. */
+  @Test
+  public void callEndsAsFailedWhenDecodingRunsOutOfStack() throws InterruptedException {
+    codec.exhaustsStack = true;
+    awaitEnds(1, () -> client.watch(1, StoreRevision.NONE, TIMEOUT, TIMEOUT));
+    awaitEnds(1, () -> client.listFromPeer("127.0.0.1:" + store.actualPort()));
+  }
+
   /** Does something on the event loop, and waits until so many calls have ended. */
   private void awaitEnds(int count, Runnable task) throws InterruptedException {
     ends = new CountDownLatch(1);
@@ -158,6 +168,8 @@
 
   /** Answers say nothing. */
   private static final class NoContents implements FeedCodec {
+    private volatile boolean exhaustsStack;
+
     @Override
     public String listTarget(Optional<String> afterKey) {
       return "/list";
@@ -185,6 +197,9 @@
 
     @Override
     public Either<FeedFailure, FeedAnswer> decode(int status, Optional<String> era, byte[] body) {
+      if (exhaustsStack) {
+        throw new StackOverflowError();
+      }
       return Either.left(FeedFailure.NO_ANSWER);
     }
   }
