Planned stop: waiting requests are refused, and each request left is answered

Cause: the stop closed connections without telling the core, so that requests that waited for a connection to a server stayed in AttemptSender.waitingParts.

Ruled out: answers that are lost while connections close (the core has no outcome); waiting requests that could have been started (the servers are busy to the end).

Change: RequestsInProgress holds the unfinished requests in place of a count.

Evidence: PlannedStopNodeTest.requestsThatWaitAreRefusedAndThoseAtAServerAreAnswered failed on (statuses 0) and passes.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
@@ -77,9 +77,9 @@
   private final SuspectRequests suspects;
   private final CrashGuard crashGuard;
   private final long startNanos;
+  private final RequestsInProgress inProgress = new RequestsInProgress();
   private final Map<String, RouteState> routeStates = new HashMap<>();
   private Optional<RoutingConfiguration> configuration = Optional.empty();
-  private int inProgress;
 
   /**
    * Creates a coordinator without a configuration.
@@ -150,7 +150,7 @@
             this::configuration,
             tenants,
             suspects,
-            this::inProgress,
+            inProgress::count,
             options.maximumRequests(),
             clock,
             random,
@@ -258,7 +258,24 @@
 
   /** Number of requests that have no final answer yet. */
   public int inProgress() {
-    return inProgress;
+    return inProgress.count();
+  }
+
+  /**
+   * Called in a planned stop when requests should no longer be started: refuses those that have not
+   * run and may last beyond the end of the process.
+   *
+   * @param endNanos when the process ends, on the router's monotonic clock
+   */
+  void refuseNotRun(long endNanos) {
+    held.refuseAll();
+    inProgress.refuseNotRun(endNanos);
+  }
+
+  /** Called before the process ends: gives each request its final answer. */
+  void endRequests() {
+    held.refuseAll();
+    inProgress.endAll();
   }
 
   /**
@@ -309,7 +326,7 @@
       return refusals.refuse(
           request, ErrorKind.UNKNOWN_PATH, "no route matches the host and path", sink);
     }
-    if (inProgress >= options.maximumRequests()) {
+    if (inProgress.count() >= options.maximumRequests()) {
       return refusals.refuse(
           request, ErrorKind.OVERLOADED, "too many requests are in progress", sink);
     }
@@ -445,7 +462,6 @@
       boolean firstTry,
       Consumer<Either<QueryError, ForwardedAnswer>> sink) {
     RouteState state = stateOf(route);
-    inProgress++;
     ForwardExecution execution =
         new ForwardExecution(
             request,
@@ -457,21 +473,20 @@
             sender,
             others,
             monitor,
+            inProgress,
             lateness,
             clock,
             timers,
             events,
-            outcome -> {
-              inProgress--;
-              sink.accept(outcome);
-            });
+            sink);
+    inProgress.add(execution);
     if (route.target() instanceof RouteTarget.AllShards) {
       execution.onEnd(() -> onSearchEnded(execution));
       admission.admit(execution, firstTry);
     } else {
       execution.start();
     }
-    return () -> cancel(execution);
+    return execution::cancel;
   }
 
   /**
@@ -502,13 +517,6 @@
     }
   }
 
-  private void cancel(ForwardExecution execution) {
-    if (!execution.isFinished()) {
-      inProgress--;
-      execution.cancel();
-    }
-  }
-
   private ImmutableList<PartProgress> partsOf(Route route, RouteState state) {
     if (route.target() instanceof RouteTarget.AllShards shards) {
       return shards.services().stream()
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
@@ -37,6 +37,7 @@
   private final Delegator delegator;
   private final RequestMonitor monitor;
   private final PostponedParts postponed;
+  private final RequestsInProgress inProgress;
   private final TimerLateness lateness;
   private final RouterClock clock;
   private final TimerQueue timers;
@@ -60,6 +61,7 @@
       AttemptSender sender,
       Delegator delegator,
       RequestMonitor monitor,
+      RequestsInProgress inProgress,
       TimerLateness lateness,
       RouterClock clock,
       TimerQueue timers,
@@ -78,6 +80,7 @@
     this.delegator = delegator;
     this.monitor = monitor;
     this.postponed = new PostponedParts(parts, monitor);
+    this.inProgress = inProgress;
     this.lateness = lateness;
     this.clock = clock;
     this.timers = timers;
@@ -246,6 +249,32 @@
     return reachable;
   }
 
+  /** Latest time at which the caller gets its final answer, on the router's monotonic clock. */
+  long responseDeadlineNanos() {
+    return times.responseDeadlineNanos();
+  }
+
+  /** Refuses the request if no server can have run it. */
+  void refuseIfNotRun(String detail) {
+    if (!finished && tally.isProvenNotRun()) {
+      finishWithError(ErrorKind.DRAINING, detail);
+    }
+  }
+
+  /** Gives the final answer now, from what servers have answered so far. */
+  void endEarly(String detail) {
+    if (finished) {
+      return;
+    }
+    if (tally.hasMinimum()) {
+      finishWithAnswer(detail);
+    } else if (serverFailure().isPresent()) {
+      finishWithoutMinimum();
+    } else {
+      finishWithError(ErrorKind.DRAINING, detail);
+    }
+  }
+
   /** Refuses a request that has not been started. */
   void refuse(String detail, Duration retryAfter) {
     finish("refused", ErrorKind.OVERLOADED.wireName(), detail);
@@ -421,7 +450,7 @@
   }
 
   private void finishWithoutMinimum() {
-    Optional<ServerReply> failure = isSearch() ? Optional.empty() : parts.get(0).failure();
+    Optional<ServerReply> failure = serverFailure();
     if (failure.isPresent()) {
       finish("failed", "", "the server's error response is passed on");
       deliver(Either.right(new ForwardedAnswer.FromServer(failure.get())));
@@ -436,6 +465,11 @@
     }
   }
 
+  /** The error response of the only server; a search passes on none. */
+  private Optional<ServerReply> serverFailure() {
+    return isSearch() ? Optional.empty() : parts.get(0).failure();
+  }
+
   private void finishWithError(ErrorKind kind, String detail) {
     Executed executed = tally.isProvenNotRun() ? Executed.NO : Executed.UNKNOWN;
     Optional<Duration> retryAfter =
@@ -452,6 +486,7 @@
 
   private void finish(String outcome, String error, String reason) {
     finished = true;
+    inProgress.remove(this);
     ownTimers.forEach(TimerQueue.Timer::cancel);
     ownTimers.clear();
     hedging.stop();
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardingRouter.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardingRouter.java
@@ -166,6 +166,21 @@
     stopping = true;
   }
 
+  /**
+   * Refuses the requests that no server has run and that may last beyond the end of the process:
+   * their callers still have time to use another router.
+   *
+   * @param endNanos when the process ends, on the router's monotonic clock
+   */
+  public void refuseNotRun(long endNanos) {
+    coordinator.refuseNotRun(endNanos);
+  }
+
+  /** Gives each request its final answer. To be called before connections are closed. */
+  public void endRequests() {
+    coordinator.endRequests();
+  }
+
   /** Whether a planned stop has begun. */
   public boolean isStopping() {
     return stopping;
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/CallerServer.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/CallerServer.java
@@ -40,7 +40,6 @@
   private static final int MAXIMUM_LINE_BYTES = 32 << 10;
   private static final int BACKLOG = 1024;
   private static final Duration SWEEP_INTERVAL = Duration.ofMillis(500);
-  private static final Duration LAST_CLOSE = Duration.ofMillis(100);
   private static final double MILLIS_PER_SECOND = 1e3;
   private static final int OK = 200;
   private static final int SERVICE_UNAVAILABLE = 503;
@@ -108,8 +107,13 @@
     }
   }
 
-  Future<Void> close() {
-    return server.shutdown(LAST_CLOSE.toMillis(), TimeUnit.MILLISECONDS);
+  /**
+   * Accepts no more connections and closes those that are there, each once its answer is written.
+   *
+   * @param timeout after this time connections are closed in any case
+   */
+  Future<Void> close(Duration timeout) {
+    return server.shutdown(timeout.toMillis(), TimeUnit.MILLISECONDS);
   }
 
   private void onConnection(HttpConnection connection) {
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardWarmUp.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardWarmUp.java
@@ -59,7 +59,7 @@
   private static final Duration LONGEST = Duration.ofSeconds(10);
 
   private static final Duration TIME_LEFT = Duration.ofSeconds(2);
-  private static final Duration LAST_CLOSE = Duration.ofMillis(50);
+  static final Duration LAST_CLOSE = Duration.ofMillis(50);
 
   private final FeedCodec feedCodec;
   private final WarmUpCodec codec;
@@ -244,7 +244,7 @@
   private Future<Void> close() {
     return client
         .close()
-        .eventually(callers::close)
+        .eventually(() -> callers.close(LAST_CLOSE))
         .eventually(() -> plan.handedOn() ? origin.close() : Future.succeededFuture())
         .eventually(() -> backend.shutdown(LAST_CLOSE.toMillis(), TimeUnit.MILLISECONDS));
   }
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
@@ -253,7 +253,7 @@
           openLog();
           router.onStopping();
           peers.leave();
-          new PlannedStop(vertx, callers, delegated, settings.stopGrace())
+          new PlannedStop(vertx, driver, router, callers, delegated, settings.stopGrace())
               .run(reason -> logProcess("stopped", reason))
               .onComplete(drained);
         });
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/WarmUpOrigin.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/WarmUpOrigin.java
@@ -96,7 +96,7 @@
   }
 
   Future<?> close() {
-    return callers.close().eventually(() -> peers.close());
+    return callers.close(ForwardWarmUp.LAST_CLOSE).eventually(() -> peers.close());
   }
 
   @Override
