Planned stop: requests that may outlast the process are refused

Cause: submit took requests at any time of a stop, and the stop ended at 0.85 of the grace whatever was in progress.

Change: from half of the grace on, a request is sent to its first server only if its latest answer comes before the end of the stop; else 503, not run, Retry-After 50 ms, on a connection that closes. Retries of what has not run likewise. When requests end, all that still come are refused before the listener closes.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
@@ -262,20 +262,20 @@
   }
 
   /**
-   * Called in a planned stop when requests should no longer be started: refuses those that have not
-   * run and may last beyond the end of the process.
+   * Refuses, now and from now on, requests that have not run and may last beyond the end of the
+   * process.
    *
    * @param endNanos when the process ends, on the router's monotonic clock
    */
-  void refuseNotRun(long endNanos) {
+  void startNoneBeyond(long endNanos) {
     held.refuseAll();
-    inProgress.refuseNotRun(endNanos);
+    inProgress.startNoneBeyond(endNanos);
   }
 
-  /** Called before the process ends: gives each request its final answer. */
+  /** Gives each request its final answer, and refuses all that come from now on. */
   void endRequests() {
     held.refuseAll();
-    inProgress.endAll();
+    inProgress.endAll(clock.nanoTime());
   }
 
   /**
@@ -461,6 +461,14 @@
       RequestMonitor monitor,
       boolean firstTry,
       Consumer<Either<QueryError, ForwardedAnswer>> sink) {
+    if (!inProgress.mayStart(times.responseDeadlineNanos())) {
+      return refusals.refuse(
+          request,
+          ErrorKind.DRAINING,
+          RequestsInProgress.STOP_REASON,
+          Optional.of(RequestsInProgress.RETRY_AFTER_STOP),
+          sink);
+    }
     RouteState state = stateOf(route);
     ForwardExecution execution =
         new ForwardExecution(
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
@@ -255,23 +255,23 @@
   }
 
   /** Refuses the request if no server can have run it. */
-  void refuseIfNotRun(String detail) {
+  void refuseIfNotRun() {
     if (!finished && tally.isProvenNotRun()) {
-      finishWithError(ErrorKind.DRAINING, detail);
+      finishWithError(ErrorKind.DRAINING, RequestsInProgress.STOP_REASON);
     }
   }
 
   /** Gives the final answer now, from what servers have answered so far. */
-  void endEarly(String detail) {
+  void endEarly() {
     if (finished) {
       return;
     }
     if (tally.hasMinimum()) {
-      finishWithAnswer(detail);
+      finishWithAnswer(RequestsInProgress.STOP_REASON);
     } else if (serverFailure().isPresent()) {
       finishWithoutMinimum();
     } else {
-      finishWithError(ErrorKind.DRAINING, detail);
+      finishWithError(ErrorKind.DRAINING, RequestsInProgress.STOP_REASON);
     }
   }
 
@@ -349,6 +349,10 @@
       giveUp(part);
       return;
     }
+    if (!inProgress.mayStart(times.responseDeadlineNanos()) && tally.isProvenNotRun()) {
+      refuseIfNotRun();
+      return;
+    }
     if (!mayRun()) {
       if (!postponed.tryPostpone(part)) {
         giveUp(part);
@@ -473,12 +477,16 @@
   private void finishWithError(ErrorKind kind, String detail) {
     Executed executed = tally.isProvenNotRun() ? Executed.NO : Executed.UNKNOWN;
     Optional<Duration> retryAfter =
-        kind.retryable() ? Optional.of(times.retryAfter()) : Optional.empty();
+        kind.retryable() ? Optional.of(retryAfter(kind)) : Optional.empty();
     QueryError error = new QueryError(kind, detail, executed, retryAfter);
     finish(executed == Executed.NO ? "refused" : "failed", kind.wireName(), detail);
     deliver(Either.left(error));
   }
 
+  private Duration retryAfter(ErrorKind kind) {
+    return kind == ErrorKind.DRAINING ? RequestsInProgress.RETRY_AFTER_STOP : times.retryAfter();
+  }
+
   private void deliver(Either<QueryError, ForwardedAnswer> outcome) {
     callback.accept(outcome);
     onEnd.run();
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardingRouter.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardingRouter.java
@@ -167,16 +167,19 @@
   }
 
   /**
-   * Refuses the requests that no server has run and that may last beyond the end of the process:
-   * their callers still have time to use another router.
+   * Refuses, now and from now on, requests that no server has run and that may last beyond the end
+   * of the process: their callers still have time to use another router.
    *
    * @param endNanos when the process ends, on the router's monotonic clock
    */
-  public void refuseNotRun(long endNanos) {
-    coordinator.refuseNotRun(endNanos);
+  public void startNoneBeyond(long endNanos) {
+    coordinator.startNoneBeyond(endNanos);
   }
 
-  /** Gives each request its final answer. To be called before connections are closed. */
+  /**
+   * Gives each request its final answer, and refuses all that come from now on. To be called before
+   * connections are closed.
+   */
   public void endRequests() {
     coordinator.endRequests();
   }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/RequestsInProgress.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/RequestsInProgress.java
@@ -1,6 +1,7 @@
 package io.arrowarch.core.forward;
 
 import com.google.common.collect.ImmutableList;
+import java.time.Duration;
 import java.util.LinkedHashSet;
 import java.util.Set;
 
@@ -10,9 +11,14 @@
  * the connections are closed.
  */
 final class RequestsInProgress {
-  private static final String REASON = "the router is shutting down";
+  static final String STOP_REASON = "the router is shutting down";
+
+  /** Other routers can serve the caller at once. */
+  static final Duration RETRY_AFTER_STOP = Duration.ofMillis(50);
 
   private final Set<ForwardExecution> requests = new LinkedHashSet<>();
+  private long endNanos;
+  private boolean ending;
 
   int count() {
     return requests.size();
@@ -27,24 +33,37 @@
   }
 
   /**
-   * Refuses the requests that no server can have run and that may last beyond a time.
+   * Whether a request may be sent to its first server: the process does not end before the latest
+   * time at which the caller gets its final answer.
+   *
+   * @param responseDeadlineNanos that time, on the router's monotonic clock
+   */
+  boolean mayStart(long responseDeadlineNanos) {
+    return !ending || responseDeadlineNanos < endNanos;
+  }
+
+  /**
+   * Refuses, now and from now on, requests that no server can have run and that may last beyond the
+   * end of the process.
    *
-   * @param endNanos when the process ends, on the router's monotonic clock
+   * @param processEndNanos when the process ends, on the router's monotonic clock
    */
-  void refuseNotRun(long endNanos) {
+  void startNoneBeyond(long processEndNanos) {
+    ending = true;
+    endNanos = processEndNanos;
     for (ForwardExecution request : ImmutableList.copyOf(requests)) {
-      if (request.responseDeadlineNanos() > endNanos) {
-        request.refuseIfNotRun(REASON);
+      if (!mayStart(request.responseDeadlineNanos())) {
+        request.refuseIfNotRun();
       }
     }
   }
 
-  /** Gives each request its final answer. */
-  void endAll() {
+  /** Gives each request its final answer, and starts none from now on. */
+  void endAll(long nowNanos) {
     // Ending a request frees its connections, which must not start one that still waits.
-    refuseNotRun(Long.MIN_VALUE);
+    startNoneBeyond(nowNanos);
     for (ForwardExecution request : ImmutableList.copyOf(requests)) {
-      request.endEarly(REASON);
+      request.endEarly();
     }
   }
 }
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/PlannedStopTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/PlannedStopTest.java
@@ -39,7 +39,7 @@
     fixture.route(false, "s");
     fillConnections();
     int waiting = fixture.coordinator.inProgress() - fixture.sent.size();
-    fixture.coordinator.refuseNotRun(endNanos());
+    fixture.coordinator.startNoneBeyond(endNanos());
 
     assertThat(waiting).isEqualTo(1);
     assertThat(fixture.outcomes).hasSize(1);
@@ -56,18 +56,56 @@
     fillConnections();
     int before = fixture.sent.size();
     ForwardHandle unused = fixture.submit(REST);
-    fixture.coordinator.refuseNotRun(endNanos());
+    fixture.coordinator.startNoneBeyond(endNanos());
     fixture.answer(fixture.attempt(0));
 
     assertThat(fixture.sent).hasSize(before + 1);
   }
 
+  /** A request that comes late in a stop was cut when the process ended. */
+  @Test
+  public void requestThatMayOutlastTheProcessIsRefusedAsNotRun() {
+    fixture.route(false, "s");
+    fixture.coordinator.startNoneBeyond(endNanos());
+    fixture.submit();
+    fixture.submit(REST);
+
+    assertThat(fixture.sent).hasSize(1);
+    assertThat(fixture.outcomes).hasSize(1);
+    assertThat(fixture.error(0).kind()).isEqualTo(ErrorKind.DRAINING);
+    assertThat(fixture.error(0).executed()).isEqualTo(Executed.NO);
+  }
+
+  /** A retry late in a stop is no better than a first attempt. */
+  @Test
+  public void requestThatAServerShedsIsNotSentAgain() {
+    fixture.server("b", "s");
+    fixture.route(false, "s");
+    fixture.submit();
+    fixture.coordinator.startNoneBeyond(endNanos());
+    fixture.answer(fixture.attempt(0), ForwardFixture.shed());
+
+    assertThat(fixture.sent).hasSize(1);
+    assertThat(fixture.error(0).executed()).isEqualTo(Executed.NO);
+  }
+
+  /** What was read in the last moment was passed on and then cut. */
+  @Test
+  public void requestAfterTheEndIsRefused() {
+    fixture.route(true, "s");
+    fixture.coordinator.endRequests();
+    fixture.submit(Duration.ofMillis(30));
+
+    assertThat(fixture.sent).isEmpty();
+    assertThat(fixture.error(0).kind()).isEqualTo(ErrorKind.DRAINING);
+  }
+
   /** A connection that closes without an answer tells its caller less than an error does. */
   @Test
   public void requestAtAServerIsAnsweredBeforeTheEnd() {
     fixture.route(false, "s");
     fixture.submit();
-    fixture.coordinator.refuseNotRun(endNanos());
+    fixture.coordinator.startNoneBeyond(endNanos());
     assertThat(fixture.outcomes).isEmpty();
     fixture.coordinator.endRequests();
 
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/PlannedStop.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/PlannedStop.java
@@ -63,7 +63,7 @@
         id -> {
           if (!turnedAway && hasPassed(TURN_AWAY_FRACTION)) {
             turnedAway = true;
-            driver.run(() -> router.refuseNotRun(startNanos + nanosOf(LAST_FRACTION)));
+            driver.run(() -> router.startNoneBeyond(startNanos + nanosOf(LAST_FRACTION)));
           }
           if (turnedAway) {
             callers.closeIdle(QUIET);
