Routes: state is dropped with its route and costs less than a kilobyte

Cause: a RouteState for each host and prefix that was ever requested, with three histograms of full size, 134 KB, also when the route had gone.

Ruled out: the configurations (245 KB of text, and configured before the test measures); requests and timers (measured after the last deadline).

Change: RouteStates drops what the configuration does not have. Times left are a uniform sample of 128 values; a window of latencies becomes a resizing histogram only with the 50 values that a quantile needs. On related paths: budgets of services that are not configured, requests to cold servers that have left, and failures of routers are dropped.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/AttemptBudgets.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/AttemptBudgets.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.ToDoubleFunction;
 
 /** The budgets of extra attempts, one per service. */
@@ -39,6 +40,15 @@
     }
   }
 
+  /** Drops the budgets of services that are not configured and have not been used in a window. */
+  void retain(Set<String> configured, long nowNanos) {
+    budgets
+        .entrySet()
+        .removeIf(
+            budget ->
+                !configured.contains(budget.getKey()) && budget.getValue().isUnused(nowNanos));
+  }
+
   void onRequest(String service, long nowNanos) {
     of(service).onRequest(nowNanos);
   }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ColdServerLimits.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ColdServerLimits.java
@@ -3,6 +3,7 @@
 import io.arrowarch.core.route.RoutingConfiguration;
 import io.arrowarch.core.route.ServiceSettings;
 import io.arrowarch.core.server.ServerState;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -26,6 +27,9 @@
 
   private static final double NANOS_PER_SECOND = 1e9;
 
+  /** A server that was sent nothing for this long has become warm or has gone. */
+  private static final Duration RETENTION = Duration.ofHours(1);
+
   private final ColdServerRules rules;
   private final ToDoubleFunction<String> share;
   private final Map<String, Deque<Long>> sentNanosByServer = new HashMap<>();
@@ -69,10 +73,19 @@
   /** Records that a request was sent to a server. */
   void onSent(ServerState server, long nowNanos) {
     if (server.isCold(nowNanos) && rateOf(server.entry().service()) > 0) {
+      if (!sentNanosByServer.containsKey(server.id())) {
+        dropOld(nowNanos);
+      }
       sentNanosByServer.computeIfAbsent(server.id(), id -> new ArrayDeque<>()).addLast(nowNanos);
     }
   }
 
+  private void dropOld(long nowNanos) {
+    sentNanosByServer
+        .values()
+        .removeIf(sent -> sent.isEmpty() || nowNanos - sent.peekLast() > RETENTION.toNanos());
+  }
+
   /** The window in which requests are counted: a second, or longer so that one request fits. */
   private static double windowNanos(double requestsPerSecond) {
     return requestsPerSecond < 1 ? NANOS_PER_SECOND / requestsPerSecond : NANOS_PER_SECOND;
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
@@ -22,8 +22,6 @@
 import io.arrowarch.core.time.TimerQueue;
 import io.vavr.control.Either;
 import java.time.Duration;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -78,7 +76,7 @@
   private final CrashGuard crashGuard;
   private final long startNanos;
   private final RequestsInProgress inProgress = new RequestsInProgress();
-  private final Map<String, RouteState> routeStates = new HashMap<>();
+  private final RouteStates routeStates;
   private Optional<RoutingConfiguration> configuration = Optional.empty();
 
   /**
@@ -105,6 +103,7 @@
     this.directory = directory;
     this.events = events;
     this.startNanos = clock.nanoTime();
+    this.routeStates = new RouteStates(random);
     this.refusals = new Refusals(this::versionInForce, viewAge, random, events);
     this.held = new HeldRequests(clock, timers, options.maximumRequests(), this::refuseHeld);
     this.layout = new SearchLayout(group::count, options.has(Mechanism.DELEGATION));
@@ -178,6 +177,8 @@
   /** Puts a configuration in force. Requests in progress keep the one they started with. */
   public void reconfigure(RoutingConfiguration updated) {
     configuration = Optional.of(updated);
+    routeStates.reconfigure(updated);
+    sender.budgets().retain(updated.services().keySet(), clock.nanoTime());
     layout.reconfigure(updated);
     coldServers.reconfigure(updated);
     limiter.onReconfigured();
@@ -256,6 +257,11 @@
     return configuration;
   }
 
+  /** Number of routes of which state is kept. */
+  int trackedRoutes() {
+    return routeStates.size();
+  }
+
   /** Number of requests that have no final answer yet. */
   public int inProgress() {
     return inProgress.count();
@@ -422,7 +428,7 @@
       RequestMonitor monitor,
       boolean mayDelegate,
       Consumer<Either<QueryError, ForwardedAnswer>> sink) {
-    RouteState state = stateOf(route);
+    RouteState state = routeStates.of(route);
     Duration timeLeft = request.timeLeft().orElse(options.defaultTimeLeft());
     RequestTimes times =
         RequestTimes.of(
@@ -448,11 +454,6 @@
     return before.plus(connected).plusNanos(lateness.reserveNanos(route.objective()));
   }
 
-  private RouteState stateOf(Route route) {
-    return routeStates.computeIfAbsent(
-        route.host() + route.pathPrefix(), key -> new RouteState(random));
-  }
-
   private ForwardHandle run(
       ForwardedRequest request,
       Route route,
@@ -469,7 +470,7 @@
           Optional.of(RequestsInProgress.RETRY_AFTER_STOP),
           sink);
     }
-    RouteState state = stateOf(route);
+    RouteState state = routeStates.of(route);
     ForwardExecution execution =
         new ForwardExecution(
             request,
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/RouteState.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/RouteState.java
@@ -5,9 +5,11 @@
 import io.arrowarch.core.route.RouteTarget;
 import java.time.Duration;
 import java.util.random.RandomGenerator;
-import org.HdrHistogram.Histogram;
 
-/** State of one route that a router keeps across requests and configuration versions. */
+/**
+ * State of one route that a router keeps across requests and configuration versions, as long as the
+ * configuration has the route. A route that is rarely used costs about a kilobyte.
+ */
 final class RouteState {
   /** The median for {@link LatencyTracker}, which takes quantiles from 0 to 1. */
   private static final double MEDIAN_QUANTILE = 0.5;
@@ -31,10 +33,6 @@
   private static final int HEDGE_DIVISOR = 3;
 
   private static final long MAXIMUM_TIME_LEFT_MILLIS = 600_000;
-  private static final int SIGNIFICANT_DIGITS = 3;
-
-  /** The median for {@link Histogram}, which takes percentiles from 0 to 100. */
-  private static final double MEDIAN_PERCENTILE = 50;
 
   /**
    * If a caller's time left differs from that of a first try by less than this fraction, the
@@ -46,12 +44,12 @@
   private static final int MINIMUM_SAMPLES = 3;
 
   private final LatencyTracker latencies = new LatencyTracker();
-  private final Histogram timesLeftMillis =
-      new Histogram(MAXIMUM_TIME_LEFT_MILLIS, SIGNIFICANT_DIGITS);
+  private final TimesLeft timesLeft;
   private final RandomGenerator random;
   private WeightedRotation rotation;
 
   RouteState(RandomGenerator random) {
+    this.timesLeft = new TimesLeft(random);
     this.random = random;
   }
 
@@ -86,10 +84,10 @@
    * of a route are first tries with the same time left, so the median is that of a first try, and a
    * request with less has been tried before.
    */
-  Duration spentBefore(Duration timeLeft) {
-    long millis = Math.min(MAXIMUM_TIME_LEFT_MILLIS, Math.max(1, timeLeft.toMillis()));
-    timesLeftMillis.recordValue(millis);
-    long usual = timesLeftMillis.getValueAtPercentile(MEDIAN_PERCENTILE);
+  Duration spentBefore(Duration callerWait) {
+    long millis = Math.min(MAXIMUM_TIME_LEFT_MILLIS, Math.max(1, callerWait.toMillis()));
+    timesLeft.record((int) millis);
+    long usual = timesLeft.median();
     long spent = usual - millis;
     return spent > NETWORK_DELAY_FRACTION * usual ? Duration.ofMillis(spent) : Duration.ZERO;
   }
@@ -98,8 +96,8 @@
    * Whether the request is probably a first try: its caller has about as much time left as the most
    * that any caller of the route has had. False while there are too few requests to tell.
    */
-  boolean isFirstTry(Duration timeLeft) {
-    return timesLeftMillis.getTotalCount() >= MINIMUM_SAMPLES
-        && timeLeft.toMillis() >= (1 - NETWORK_DELAY_FRACTION) * timesLeftMillis.getMaxValue();
+  boolean isFirstTry(Duration callerWait) {
+    return timesLeft.count() >= MINIMUM_SAMPLES
+        && callerWait.toMillis() >= (1 - NETWORK_DELAY_FRACTION) * timesLeft.maximum();
   }
 }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ServiceBudget.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ServiceBudget.java
@@ -31,6 +31,11 @@
     requests.add(nowNanos);
   }
 
+  /** Whether the window that ends now has neither requests nor extra attempts. */
+  boolean isUnused(long nowNanos) {
+    return requests.count(nowNanos) == 0 && extras.count(nowNanos) == 0;
+  }
+
   /** Extra attempts left in the window that ends now; may be fractional or negative. */
   double left(double share, long nowNanos) {
     return total(share, nowNanos) - extras.count(nowNanos);
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/WatchRelays.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/WatchRelays.java
@@ -143,6 +143,7 @@
 
   @Override
   public void onFailed(String address) {
+    failedNanos.keySet().removeIf(failed -> !isAvoided(failed));
     failedNanos.put(address, clock.nanoTime());
   }
 
--- a/arrowarch-core/src/main/java/io/arrowarch/core/hedge/LatencyTracker.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/hedge/LatencyTracker.java
@@ -3,24 +3,21 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
-import org.HdrHistogram.Histogram;
+import java.util.Optional;
 
 /**
  * Latencies of successful attempts of one query kind over the last one to two windows. Windows
  * rotate only when a latency is recorded, so that the values may be older after a pause in traffic.
- * Histograms hold microseconds.
  */
 public final class LatencyTracker {
   private static final long WINDOW_NANOS = Duration.ofSeconds(5).toNanos();
-  private static final long MAXIMUM_MICROS = Duration.ofMinutes(2).toNanos() / 1_000;
-  private static final int SIGNIFICANT_DIGITS = 2;
   private static final int MINIMUM_SAMPLES = 50;
 
   /** Quantiles are cached for this many samples, since computing one scans the whole histogram. */
   private static final int QUANTILE_CACHE_SAMPLES = 64;
 
-  private Histogram current = new Histogram(MAXIMUM_MICROS, SIGNIFICANT_DIGITS);
-  private Histogram previous = new Histogram(MAXIMUM_MICROS, SIGNIFICANT_DIGITS);
+  private LatencyWindow current = new LatencyWindow(MINIMUM_SAMPLES);
+  private LatencyWindow previous = new LatencyWindow(MINIMUM_SAMPLES);
   private long windowStartNanos;
   private final Map<Double, Long> cachedQuantiles = new HashMap<>();
   private int samplesSinceCached;
@@ -28,7 +25,7 @@
   /** Records the latency of an attempt that was answered. */
   public void record(long latencyNanos, long nowNanos) {
     rotateIfDue(nowNanos);
-    current.recordValue(Math.min(MAXIMUM_MICROS, Math.max(1, latencyNanos / 1_000)));
+    current.record(latencyNanos);
     samplesSinceCached++;
     if (samplesSinceCached >= QUANTILE_CACHE_SAMPLES) {
       clearCachedQuantiles();
@@ -44,12 +41,14 @@
    * @return the quantile in nanoseconds
    */
   public long quantileNanos(double quantile, long fallbackNanos) {
-    Histogram source = current.getTotalCount() >= MINIMUM_SAMPLES ? current : previous;
-    if (source.getTotalCount() < MINIMUM_SAMPLES) {
-      return fallbackNanos;
+    Long cached = cachedQuantiles.get(quantile);
+    if (cached != null) {
+      return cached;
     }
-    return cachedQuantiles.computeIfAbsent(
-        quantile, wanted -> source.getValueAtPercentile(100 * wanted) * 1_000);
+    LatencyWindow source = current.hasEnoughSamples() ? current : previous;
+    Optional<Long> computed = source.quantileNanos(quantile);
+    computed.ifPresent(nanos -> cachedQuantiles.put(quantile, nanos));
+    return computed.orElse(fallbackNanos);
   }
 
   private void clearCachedQuantiles() {
@@ -61,10 +60,8 @@
     if (nowNanos - windowStartNanos < WINDOW_NANOS) {
       return;
     }
-    Histogram oldest = previous;
     previous = current;
-    oldest.reset();
-    current = oldest;
+    current = new LatencyWindow(MINIMUM_SAMPLES);
     windowStartNanos = nowNanos;
     clearCachedQuantiles();
   }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/tenant/CountingRouters.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/tenant/CountingRouters.java
@@ -88,6 +88,7 @@
 
   /** Records that a router sent no verdict in time. */
   void onFailed(String id) {
+    failedNanos.keySet().removeIf(failed -> !isAvoided(failed));
     failedNanos.put(id, clock.nanoTime());
   }
 
