--- a/arrowarch-cli/src/test/java/io/arrowarch/cli/ChildProcess.java
+++ b/arrowarch-cli/src/test/java/io/arrowarch/cli/ChildProcess.java
@@ -23,9 +23,14 @@
   }
 
   static ChildProcess start(Path directory, String name, Class<?> main, String... arguments) {
+    return start(directory, name, JAVA_OPTIONS, main, arguments);
+  }
+
+  static ChildProcess start(
+      Path directory, String name, List<String> javaOptions, Class<?> main, String... arguments) {
     List<String> command = new ArrayList<>();
     command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-    command.addAll(JAVA_OPTIONS);
+    command.addAll(javaOptions);
     command.addAll(List.of("-cp", System.getProperty("java.class.path"), main.getName()));
     command.addAll(List.of(arguments));
     Path log = directory.resolve(name + "-" + System.nanoTime() + ".log");
