Processes: a SIGTERM is handled from the start

Cause: the shutdown hook was added only when all ports were open, and the port for callers opens first.

Ruled out: a stop that closes too early (no line "stopping" was logged).

--- a/arrowarch-cli/src/main/java/io/arrowarch/cli/EmulatedBackendCommand.java
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/EmulatedBackendCommand.java
@@ -40,7 +40,7 @@
             .filter(backend -> id == null || backend.id().equals(id))
             .map(backend -> server(configuration, backend))
             .collect(ImmutableList.toImmutableList());
-    Processes.runUntilStopped(servers, () -> drainAll(servers));
+    Processes.runUntilStopped(servers, signalNanos -> drainAll(servers));
     return ExitCode.OK;
   }
 
--- a/arrowarch-cli/src/main/java/io/arrowarch/cli/EmulatedPlatformCommand.java
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/EmulatedPlatformCommand.java
@@ -26,7 +26,7 @@
     SocketAddressSetting address = SocketAddressSetting.parse(listen);
     PlatformServer server =
         new PlatformServer(address.host(), address.port(), json.getBytes(StandardCharsets.UTF_8));
-    Processes.runUntilStopped(List.of(server), Future::succeededFuture);
+    Processes.runUntilStopped(List.of(server), signalNanos -> Future.succeededFuture());
     return ExitCode.OK;
   }
 }
--- a/arrowarch-cli/src/main/java/io/arrowarch/cli/HollowCommand.java
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/HollowCommand.java
@@ -46,7 +46,7 @@
     ImmutableList<RouterNode> routers = nodes.build();
     all.addAll(routers);
     all.add(new VersionWatch(routers));
-    Processes.runUntilStopped(all.build(), Future::succeededFuture);
+    Processes.runUntilStopped(all.build(), signalNanos -> Future.succeededFuture());
     return ExitCode.OK;
   }
 
--- a/arrowarch-cli/src/main/java/io/arrowarch/cli/Processes.java
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/Processes.java
@@ -7,11 +7,12 @@
 import io.vertx.core.file.FileSystemOptions;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.function.Supplier;
+import java.util.function.LongFunction;
 
 /** Runs a server process: deploys it, waits for SIGTERM or SIGINT, stops it in order. */
 final class Processes {
@@ -22,8 +23,15 @@
 
   private Processes() {}
 
-  /** Deploys servers, one event loop each up to a few, and returns when told to stop. */
-  static void runUntilStopped(List<? extends Deployable> servers, Supplier<Future<Void>> drain)
+  /**
+   * Deploys servers, one event loop each up to a few, and returns when told to stop. A signal that
+   * comes while they are being deployed stops them once they are: their ports may have accepted
+   * requests already.
+   *
+   * @param drain runs the planned stop of the servers, given when the signal came by {@link
+   *     System#nanoTime}
+   */
+  static void runUntilStopped(List<? extends Deployable> servers, LongFunction<Future<Void>> drain)
       throws CommandException {
     int eventLoops = Math.min(MAXIMUM_EVENT_LOOPS, servers.size());
     Vertx vertx =
@@ -34,20 +42,24 @@
                     new FileSystemOptions()
                         .setFileCachingEnabled(false)
                         .setClassPathResolvingEnabled(false)));
+    CompletableFuture<Void> deployed = new CompletableFuture<>();
+    Thread stop = new Thread(() -> stop(vertx, deployed, drain), "stop");
+    Runtime.getRuntime().addShutdownHook(stop);
     try {
       Future.all(servers.stream().map(vertx::deployVerticle).toList())
           .toCompletionStage()
           .toCompletableFuture()
           .get();
     } catch (ExecutionException e) {
+      deployed.completeExceptionally(e.getCause());
       vertx.close();
       throw new CommandException("cannot start: " + e.getCause().getMessage(), e);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       throw new CommandException("interrupted while starting", e);
     }
+    deployed.complete(null);
     CountDownLatch never = new CountDownLatch(1);
-    Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(vertx, drain), "stop"));
     try {
       never.await();
     } catch (InterruptedException e) {
@@ -55,12 +67,15 @@
     }
   }
 
-  private static void stop(Vertx vertx, Supplier<Future<Void>> drain) {
+  private static void stop(
+      Vertx vertx, CompletableFuture<Void> deployed, LongFunction<Future<Void>> drain) {
+    long signalNanos = System.nanoTime();
+    if (deployed.isCompletedExceptionally()) {
+      return;
+    }
     try {
-      drain
-          .get()
-          .toCompletionStage()
-          .toCompletableFuture()
+      deployed
+          .thenCompose(ignored -> drain.apply(signalNanos).toCompletionStage())
           .get(LONGEST_STOP.toMillis(), TimeUnit.MILLISECONDS);
     } catch (ExecutionException | TimeoutException e) {
       System.err.println("Node: stopped out of order: " + e.getMessage());
--- a/arrowarch-cli/src/main/java/io/arrowarch/cli/ServeCommand.java
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/ServeCommand.java
@@ -48,7 +48,7 @@
     Logging.configure(
         Optional.ofNullable(logFormat).or(document::logFormat).orElse(LogFormat.TEXT));
     RouterNode node = new RouterNode(override(document.toNodeSettings()));
-    Processes.runUntilStopped(List.of(node), node::drain);
+    Processes.runUntilStopped(List.of(node), signalNanos -> node.drain());
     return ExitCode.OK;
   }
 
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
@@ -244,8 +244,17 @@
         .collect(ImmutableList.toImmutableList());
   }
 
-  /** Runs a planned stop; completes when the process may exit. */
+  /** Runs a planned stop that begins now; completes when the process may exit. */
   public Future<Void> drain() {
+    return drain(System.nanoTime());
+  }
+
+  /**
+   * Runs a planned stop; completes when the process may exit.
+   *
+   * @param signalNanos when the grace of the stop began, by {@link System#nanoTime}
+   */
+  public Future<Void> drain(long signalNanos) {
     Promise<Void> drained = Promise.promise();
     driver.run(
         () -> {
@@ -253,7 +262,8 @@
           openLog();
           router.onStopping();
           peers.leave();
-          new PlannedStop(vertx, driver, router, callers, delegated, settings.stopGrace())
+          new PlannedStop(
+                  vertx, driver, router, callers, delegated, settings.stopGrace(), signalNanos)
               .run(reason -> logProcess("stopped", reason))
               .onComplete(drained);
         });
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/PlannedStop.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/PlannedStop.java
@@ -33,22 +33,29 @@
   private final CallerServer callers;
   private final DelegateServer delegated;
   private final Duration grace;
-  private final long startNanos = System.nanoTime();
+  private final long startNanos;
   private boolean turnedAway;
 
+  /**
+   * Creates a stop.
+   *
+   * @param startNanos when the grace began, by {@link System#nanoTime}
+   */
   PlannedStop(
       Vertx vertx,
       EventLoopDriver driver,
       ForwardingRouter router,
       CallerServer callers,
       DelegateServer delegated,
-      Duration grace) {
+      Duration grace,
+      long startNanos) {
     this.vertx = vertx;
     this.driver = driver;
     this.router = router;
     this.callers = callers;
     this.delegated = delegated;
     this.grace = grace;
+    this.startNanos = startNanos;
   }
 
   /**
