--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/RouteMemoryTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/RouteMemoryTest.java
@@ -58,6 +58,7 @@
       requestAll("generation" + generation);
     }
 
+    assertThat(fixture.coordinator.trackedRoutes()).isEqualTo(ROUTES);
     assertThat(usedBytes() - before).isLessThan((long) ROUTES * BYTES_PER_ROUTE);
   }
 
