Logs: bytes that are no response to what a peer was asked

Bytes that come on a connection while nothing is awaited, and what came before a head, are in no line. Change: a reader of the bytes as they come, before the decoder, follows them from response to response and reports what belongs to none (event malformed-response, a count by kind of peer). It changes nothing of what is decoded yet, and stands on connections to servers. Ruled out: nothing yet. Measured: nothing but the build.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/event/RouterEvent.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/event/RouterEvent.java
@@ -204,6 +204,33 @@
     }
   }
 
+  /**
+   * A peer has sent bytes that are no response to what it was asked.
+   *
+   * @param peer server, feed (the store, or a router that is followed) or router
+   * @param name id of the server, address of another peer
+   * @param fault what is wrong with them
+   * @param bytes how many came at once
+   * @param excerpt the bytes in question, shortened and escaped
+   */
+  record MalformedResponse(String peer, String name, String fault, int bytes, String excerpt)
+      implements RouterEvent {
+    @Override
+    public String eventName() {
+      return "malformed-response";
+    }
+
+    @Override
+    public void writeTo(EventFields fields) {
+      fields
+          .text("peer", peer)
+          .text("name", name)
+          .text("fault", fault)
+          .whole("bytes", bytes)
+          .text("excerpt", excerpt);
+    }
+  }
+
   /**
    * The delegation of parts of a search to a router nearer to their servers has ended.
    *
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardWarmUp.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardWarmUp.java
@@ -99,7 +99,8 @@
     EventLoopDriver driver =
         new EventLoopDriver(
             vertx, context, () -> timers.runDue(System.nanoTime()), timers::nextDueNanos);
-    ServerConnections connections = new ServerConnections(vertx);
+    ServerConnections connections =
+        new ServerConnections(vertx, new MalformedResponses(EventLog.NONE));
     ServerClient servers =
         new ServerClient(
             driver, () -> router().coordinator(), attemptCodec, connections, ReplyMemory.ofHeap());
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
@@ -118,7 +118,8 @@
     driver =
         new EventLoopDriver(
             vertx, context, () -> timers.runDue(System.nanoTime()), timers::nextDueNanos);
-    ServerConnections connections = new ServerConnections(vertx);
+    MalformedResponses malformed = new MalformedResponses(events);
+    ServerConnections connections = new ServerConnections(vertx, malformed);
     ServerClient servers =
         new ServerClient(
             driver, () -> router.coordinator(), attemptCodec, connections, ReplyMemory.ofHeap());
@@ -161,7 +162,7 @@
             feedCodec,
             warmUpCodec,
             () -> callers.connectionCount() > 0);
-    new NodeGauges(metrics).bind(router, connections, store, endpoint);
+    new NodeGauges(metrics).bind(router, connections, store, endpoint, malformed);
     vertx.setPeriodic(CONNECTION_SWEEP.toMillis(), id -> connections.closeRested());
     OperatorServers operators = new OperatorServers(vertx, this::isReady, metrics);
     // Callers first: what comes before the store is listed is held, not turned away.
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/NodeGauges.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/NodeGauges.java
@@ -21,7 +21,14 @@
       ForwardingRouter router,
       ServerConnections connections,
       StoreClient store,
-      PeerEndpoint endpoint) {
+      PeerEndpoint endpoint,
+      MalformedResponses malformed) {
+    for (MalformedResponses.PeerKind kind : MalformedResponses.PeerKind.values()) {
+      metrics.gauge(
+          "arrowarch.responses.malformed." + kind.logName(),
+          malformed,
+          responses -> responses.count(kind));
+    }
     metrics.gauge("arrowarch.connections.opened", connections, ServerConnections::opened);
     metrics.gauge("arrowarch.connections.failed", connections, ServerConnections::failed);
     metrics.gauge("arrowarch.store.listing.calls", store, StoreClient::listingCalls);
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ServerConnection.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ServerConnection.java
@@ -52,6 +52,11 @@
     open = false;
   }
 
+  /** It takes no further request, but ends with the answer that is being read. */
+  void onUnusable() {
+    open = false;
+  }
+
   void close() {
     open = false;
     connection.close();
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ServerConnections.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ServerConnections.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import io.arrowarch.core.server.ServerEntry;
 import io.arrowarch.node.SocketAddressSetting;
+import io.arrowarch.node.http.ResponseGuards;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClientAgent;
@@ -21,10 +22,12 @@
 
   private final HttpClientAgent client;
   private final Map<String, Deque<ServerConnection>> idle = new HashMap<>();
+  private final MalformedResponses malformed;
   private long opened;
   private long failed;
 
-  ServerConnections(Vertx vertx) {
+  ServerConnections(Vertx vertx, MalformedResponses malformed) {
+    this.malformed = malformed;
     client =
         vertx.createHttpClient(
             new HttpClientOptions()
@@ -68,6 +71,9 @@
         .map(
             connection -> {
               ServerConnection added = new ServerConnection(connection);
+              ResponseGuards.install(
+                  connection,
+                  malformed.of(MalformedResponses.PeerKind.SERVER, server.id(), added::onUnusable));
               connection.closeHandler(closed -> onClosed(server.id(), added));
               connection.exceptionHandler(failure -> added.close());
               return added;
