Servers: an answer cut within its head is not joined with the next one

What callers saw: 200 where the server had answered with a failure (MIXED), with the failure's body and signature; with other bytes 503 for a request that ran, and a second run (REFUSED, TWICE). Cause: the library's decoder keeps an unfinished head, and takes the next answer's status line for one more field. Neither bytes that come while nothing is awaited nor an unfinished head are told to anyone. The status is the surplus answer's, the id, signature and body are the next one's. Class: bytes are believed because of where they stand in a stream. Ruled out: an answer to the same id on the same connection (a part is sent again to a server only after its connection is closed); whole surplus answers (their id is compared). Change: the bytes are read strictly before the decoder. A byte while nothing is awaited closes the connection, also between taking it and writing. A head is decoded only once it is whole and well-formed, and holds no second status line. Why no cut escapes: what follows the first k bytes of a surplus head is an answer whose status line is whole, since it begins after them. Whatever would be taken for an answer at offset 0 is found at offset k. A head that is cut off behind its empty line has an id of its own, which is compared. A sound answer with a status line inside a field's value is lost, with a 502.

--- a/arrowarch-node/src/main/java/io/arrowarch/node/http/ResponseGuard.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/http/ResponseGuard.java
@@ -9,10 +9,11 @@
 import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.util.ReferenceCountUtil;
 
 /**
- * Stands before the HTTP decoder of a connection that requests are sent on, and reports what is no
- * response to one of them.
+ * Stands before the HTTP decoder of a connection that requests are sent on, and lets through what
+ * is a response to one of them. Anything else closes the connection before it is decoded.
  */
 final class ResponseGuard extends ChannelInboundHandlerAdapter {
   private final ResponseListener listener;
@@ -35,6 +36,12 @@
   private final class RequestObserver extends ChannelOutboundHandlerAdapter {
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+      if (failed) {
+        ReferenceCountUtil.release(message);
+        promise.tryFailure(
+            new MalformedResponseException(ResponseFault.UNREQUESTED, "the connection is closed"));
+        return;
+      }
       if (message instanceof HttpRequest request) {
         framing.onRequest(request.method().name());
       }
@@ -44,16 +51,43 @@
 
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
-    ByteBuf in = ((ByteBuf) message).duplicate();
+    ByteBuf in = (ByteBuf) message;
     try {
       while (in.isReadable() && !failed) {
-        framing.next(in).release();
+        readPiece(context, in);
+      }
+    } finally {
+      in.release();
+    }
+  }
+
+  private void readPiece(ChannelHandlerContext context, ByteBuf in) {
+    int bytes = in.readableBytes();
+    try {
+      ByteBuf piece = framing.next(in);
+      if (framing.awaitsNothing() && in.isReadable()) {
+        // Before the piece is given out: what it ends may use the connection again at once.
+        failed = true;
+        listener.onUnusable();
+        context.fireChannelRead(piece);
+        fail(
+            context,
+            new MalformedResponseException(ResponseFault.SURPLUS, ResponseFraming.excerpt(in)),
+            in.readableBytes());
+      } else if (piece.isReadable()) {
+        context.fireChannelRead(piece);
       }
     } catch (MalformedResponseException e) {
-      failed = true;
-      listener.onMalformed(e, ((ByteBuf) message).readableBytes());
+      fail(context, e, bytes);
     }
-    context.fireChannelRead(message);
+  }
+
+  private void fail(ChannelHandlerContext context, MalformedResponseException e, int bytes) {
+    failed = true;
+    listener.onUnusable();
+    listener.onMalformed(e, bytes);
+    context.fireExceptionCaught(e);
+    ChannelFuture unused = context.close();
   }
 
   @Override
