Servers: a chunk whose size overflows 32 bits is no answer

Cause: the decoder counts in 32 bits, without an error, and ends the body after 16 bytes; the reader before it counted in 64 and let everything through as data of that chunk. Change: a size above the largest 32-bit number ends the connection.

--- a/arrowarch-node/src/main/java/io/arrowarch/node/http/ChunkedBody.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/http/ChunkedBody.java
@@ -9,6 +9,10 @@
 final class ChunkedBody {
   private static final int MAXIMUM_LINE_BYTES = 256;
   private static final int MAXIMUM_TRAILER_BYTES = 8 << 10;
+
+  /** Decoders that count in 32 bits take a larger size for another one. */
+  private static final long MAXIMUM_CHUNK_BYTES = Integer.MAX_VALUE;
+
   private static final int MAXIMUM_SIZE_DIGITS = 15;
   private static final int HEXADECIMAL = 16;
   private static final byte[] LINE_END = "\r\n".getBytes(StandardCharsets.US_ASCII);
@@ -87,7 +91,8 @@
     }
     byte after = line.array()[digits];
     boolean endsLine = after == '\r' && digits + LINE_END.length == line.length();
-    if (digits == 0 || digits > MAXIMUM_SIZE_DIGITS || (!endsLine && after != ';')) {
+    boolean isSize = digits > 0 && digits <= MAXIMUM_SIZE_DIGITS && size <= MAXIMUM_CHUNK_BYTES;
+    if (!isSize || (!endsLine && after != ';')) {
       throw malformed();
     }
     requireSingleLineEnd();
