Servers: bytes that can become no answer end the attempt at once

And a server that closes within a head counted as crashed, so that its requests were suspected. Cause: nothing was checked before a head was whole; a head that the connection ends was never decoded, so that nobody saw more than the close. Change: heads are read line by line, the first one byte by byte up to the version. A close behind a status line is reported as malformed, as before. A request on a connection whose response is unfinished is refused and closes it: decoder and reader disagree then. 205 has a body like other answers (RFC 9112, 6.3). The decoder's limits are the reader's. Excerpts hold nothing of a body. A connection whose channel can't be reached is closed. Ruled out: an answer without a length with bytes behind it; they are its body by the protocol.

--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ServerConnection.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ServerConnection.java
@@ -29,7 +29,7 @@
 
   private Duration rest = DEFAULT_REST;
   private boolean open = true;
-  private long answers;
+  private boolean answered;
 
   ServerConnection(HttpClientConnection connection) {
     this.connection = connection;
@@ -49,15 +49,11 @@
     return open && System.nanoTime() < restUntilNanos;
   }
 
+  /** It is closed, or takes no further request after the answer that is being read. */
   void onClosed() {
     open = false;
   }
 
-  /** It takes no further request, but ends with the answer that is being read. */
-  void onUnusable() {
-    open = false;
-  }
-
   void close() {
     open = false;
     connection.close();
@@ -65,12 +61,12 @@
 
   /** Whether nothing has been answered on it yet. */
   boolean isNew() {
-    return answers == 0;
+    return !answered;
   }
 
   /** Notes an answer, from which the time of rest counts. */
   void onAnswer(HttpClientResponse response) {
-    answers++;
+    answered = true;
     String keepAlive = response.getHeader(KEEP_ALIVE);
     if (!Objects.equals(keepAlive, lastKeepAlive)) {
       lastKeepAlive = keepAlive;
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ServerConnections.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ServerConnections.java
@@ -30,12 +30,13 @@
     this.malformed = malformed;
     client =
         vertx.createHttpClient(
-            new HttpClientOptions()
-                .setKeepAlive(true)
-                .setPipelining(false)
-                .setTcpNoDelay(true)
-                .setDecompressionSupported(false)
-                .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis()));
+            ResponseGuards.allowHeads(
+                new HttpClientOptions()
+                    .setKeepAlive(true)
+                    .setPipelining(false)
+                    .setTcpNoDelay(true)
+                    .setDecompressionSupported(false)
+                    .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())));
   }
 
   /** Connections opened since the start. */
@@ -73,7 +74,7 @@
               ServerConnection added = new ServerConnection(connection);
               ResponseGuards.install(
                   connection,
-                  malformed.of(MalformedResponses.PeerKind.SERVER, server.id(), added::onUnusable));
+                  malformed.of(MalformedResponses.PeerKind.SERVER, server.id(), added::onClosed));
               connection.closeHandler(closed -> onClosed(server.id(), added));
               connection.exceptionHandler(failure -> added.close());
               return added;
--- a/arrowarch-node/src/main/java/io/arrowarch/node/http/LineBytes.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/http/LineBytes.java
@@ -1,5 +1,6 @@
 package io.arrowarch.node.http;
 
+import io.netty.buffer.ByteBuf;
 import java.util.Arrays;
 
 /** Bytes that are collected until what they belong to is whole. */
@@ -26,6 +27,19 @@
     return true;
   }
 
+  /** Moves bytes here; returns false and moves none if there is no room for them. */
+  boolean add(ByteBuf in, int count) {
+    if (length + count > maximumBytes) {
+      return false;
+    }
+    if (length + count > bytes.length) {
+      bytes = Arrays.copyOf(bytes, Math.max(length + count, 2 * bytes.length));
+    }
+    in.readBytes(bytes, length, count);
+    length += count;
+    return true;
+  }
+
   /** Whether the last bytes are these. */
   boolean endsWith(byte[] end) {
     return length >= end.length
@@ -42,6 +56,9 @@
 
   void clear() {
     length = 0;
+    if (bytes.length > USUAL_BYTES) {
+      bytes = new byte[USUAL_BYTES];
+    }
   }
 
   /** The bytes so far, shortened and escaped. */
--- a/arrowarch-node/src/main/java/io/arrowarch/node/http/ResponseFault.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/http/ResponseFault.java
@@ -12,6 +12,8 @@
   STATUS_LINE_WITHIN_HEAD,
   /** The connection ended within a head. */
   INCOMPLETE_HEAD,
+  /** The next request was about to be sent before a response was whole. */
+  UNFINISHED,
   /** A head is longer than the limit. */
   LONG_HEAD,
   /** The first line of a head is no status line. */
--- a/arrowarch-node/src/main/java/io/arrowarch/node/http/ResponseFraming.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/http/ResponseFraming.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import java.nio.charset.StandardCharsets;
 
 /**
  * Follows the bytes that a peer sends on one connection from response to response, so that for each
@@ -10,11 +9,14 @@
  * whole and well-formed, and interim responses (1xx) not at all. One request at a time.
  */
 final class ResponseFraming {
-  private static final int MAXIMUM_HEAD_BYTES = 16 << 10;
+  /** Bounds what a connection holds of a head; the decoder behind takes as much. */
+  static final int MAXIMUM_HEAD_BYTES = 16 << 10;
+
+  /** A peer that sends more before an answer never answers. */
   private static final int MAXIMUM_INTERIM = 8;
-  private static final byte[] HEAD_END = "\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
   private final LineBytes head = new LineBytes(MAXIMUM_HEAD_BYTES);
+  private ResponseHead parsed = new ResponseHead(head);
   private Part part = Part.NONE;
   private boolean onlyHead;
   private boolean tunnel;
@@ -41,7 +43,12 @@
     onlyHead = method.equals("HEAD");
     tunnel = method.equals("CONNECT");
     interim = 0;
+    beginHead();
+  }
+
+  private void beginHead() {
     head.clear();
+    parsed = new ResponseHead(head);
   }
 
   /** Whether every byte of the response to the last request has come. */
@@ -49,9 +56,9 @@
     return part == Part.NONE;
   }
 
-  /** Whether the connection may end here without cutting off a head. */
-  boolean mayEndHere() {
-    return part != Part.HEAD || head.length() == 0;
+  /** Whether the status line, but not the whole of a head, has come. */
+  boolean isWithinHead() {
+    return part == Part.HEAD && parsed.hasStatusLine();
   }
 
   /** The bytes of a head that is not whole, shortened and escaped. */
@@ -80,26 +87,27 @@
 
   /** The next bytes, shortened and escaped. */
   static String excerpt(ByteBuf in) {
-    byte[] bytes = new byte[in.readableBytes()];
+    byte[] bytes = new byte[Math.min(in.readableBytes(), Excerpt.MAXIMUM_BYTES)];
     in.getBytes(in.readerIndex(), bytes);
     return Excerpt.of(bytes, bytes.length);
   }
 
   private ByteBuf nextHead(ByteBuf in) throws MalformedResponseException {
     while (in.isReadable()) {
-      byte value = in.readByte();
-      if (!head.add(value)) {
+      int lineEnd = in.indexOf(in.readerIndex(), in.writerIndex(), (byte) '\n');
+      int bytes = lineEnd < 0 ? in.readableBytes() : lineEnd + 1 - in.readerIndex();
+      if (!head.add(in, bytes)) {
         throw new MalformedResponseException(ResponseFault.LONG_HEAD, head.excerpt());
       }
-      if (value == '\n' && head.endsWith(HEAD_END)) {
+      if (lineEnd >= 0 && parsed.onLine()) {
         return onWholeHead();
       }
     }
+    parsed.requirePossibleStart();
     return Unpooled.EMPTY_BUFFER;
   }
 
   private ByteBuf onWholeHead() throws MalformedResponseException {
-    ResponseHead parsed = ResponseHead.parse(head.array(), head.length());
     if (parsed.isInterim()) {
       return dropInterim();
     }
@@ -107,7 +115,12 @@
       throw new MalformedResponseException(ResponseFault.STATUS_LINE, head.excerpt());
     }
     ByteBuf whole = Unpooled.copiedBuffer(head.array(), 0, head.length());
-    head.clear();
+    beginBody();
+    beginHead();
+    return whole;
+  }
+
+  private void beginBody() {
     if (onlyHead || parsed.isWithoutBody()) {
       part = Part.NONE;
     } else if (parsed.isChunked()) {
@@ -119,7 +132,6 @@
       bodyLeft = parsed.contentLength();
       part = bodyLeft == 0 ? Part.NONE : Part.BODY_OF_LENGTH;
     }
-    return whole;
   }
 
   private ByteBuf dropInterim() throws MalformedResponseException {
@@ -127,7 +139,7 @@
     if (interim > MAXIMUM_INTERIM) {
       throw new MalformedResponseException(ResponseFault.INTERIM_RESPONSES, head.excerpt());
     }
-    head.clear();
+    beginHead();
     return Unpooled.EMPTY_BUFFER;
   }
 
--- a/arrowarch-node/src/main/java/io/arrowarch/node/http/ResponseGuard.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/http/ResponseGuard.java
@@ -36,19 +36,33 @@
   private final class RequestObserver extends ChannelOutboundHandlerAdapter {
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
-      if (failed) {
-        ReferenceCountUtil.release(message);
-        promise.tryFailure(
-            new MalformedResponseException(ResponseFault.UNREQUESTED, "the connection is closed"));
+      boolean begins = message instanceof HttpRequest;
+      if (failed || (begins && !framing.awaitsNothing())) {
+        refuse(context, message, promise);
         return;
       }
-      if (message instanceof HttpRequest request) {
-        framing.onRequest(request.method().name());
+      if (begins) {
+        framing.onRequest(((HttpRequest) message).method().name());
       }
       ChannelFuture unused = context.write(message, promise);
     }
   }
 
+  /**
+   * The connection is not one on which nothing is awaited. Where the decoder has seen the end of a
+   * response before this reader, they disagree, and nothing more may be believed.
+   */
+  private void refuse(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+    ReferenceCountUtil.release(message);
+    MalformedResponseException cause =
+        new MalformedResponseException(
+            ResponseFault.UNFINISHED, "a request follows an unfinished response");
+    promise.tryFailure(cause);
+    if (!failed) {
+      fail(context, cause, 0);
+    }
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     ByteBuf in = (ByteBuf) message;
@@ -90,13 +104,15 @@
     ChannelFuture unused = context.close();
   }
 
+  /** A peer that stops within a head has sent no answer, which is no sign that it has crashed. */
   @Override
   public void channelInactive(ChannelHandlerContext context) throws Exception {
-    if (!failed && !framing.mayEndHere()) {
+    if (!failed && framing.isWithinHead()) {
       failed = true;
-      listener.onMalformed(
-          new MalformedResponseException(ResponseFault.INCOMPLETE_HEAD, framing.incompleteHead()),
-          0);
+      MalformedResponseException cut =
+          new MalformedResponseException(ResponseFault.INCOMPLETE_HEAD, framing.incompleteHead());
+      listener.onMalformed(cut, 0);
+      context.fireExceptionCaught(cut);
     }
     super.channelInactive(context);
   }
--- a/arrowarch-node/src/main/java/io/arrowarch/node/http/ResponseGuards.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/http/ResponseGuards.java
@@ -1,7 +1,9 @@
 package io.arrowarch.node.http;
 
 import io.netty.channel.ChannelPipeline;
+import io.vertx.core.Future;
 import io.vertx.core.http.HttpClientConnection;
+import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.net.impl.ConnectionBase;
 import java.lang.reflect.Field;
@@ -17,11 +19,19 @@
    * Guards a connection before its first request: what is no response to a request on it closes it.
    *
    * @param connection of HTTP/1.1, from a client's connect handler or its {@code connect}
+   * @param listener told what is wrong with the bytes of the peer
    */
   public static void install(HttpConnection connection, ResponseListener listener) {
     ResponseGuard.install(pipeline(connection), listener);
   }
 
+  /** Lets the decoder take heads as long as those that a guard lets through. */
+  public static HttpClientOptions allowHeads(HttpClientOptions options) {
+    return options
+        .setMaxHeaderSize(ResponseFraming.MAXIMUM_HEAD_BYTES)
+        .setMaxInitialLineLength(ResponseFraming.MAXIMUM_HEAD_BYTES);
+  }
+
   private static ChannelPipeline pipeline(HttpConnection connection) {
     Object own = connection instanceof HttpClientConnection ? wrapped(connection) : connection;
     return ((ConnectionBase) own).channel().pipeline();
@@ -33,6 +43,7 @@
       field.setAccessible(true);
       return field.get(connection);
     } catch (ReflectiveOperationException e) {
+      Future<Void> unused = connection.close();
       throw new IllegalStateException("a connection without a channel: " + connection, e);
     }
   }
--- a/arrowarch-node/src/main/java/io/arrowarch/node/http/ResponseHead.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/http/ResponseHead.java
@@ -21,34 +21,61 @@
   private static final int MINOR_VERSION_OFFSET = 7;
   private static final int STATUS_OFFSET = 9;
   private static final int STATUS_DIGITS = 3;
+  private static final int LINE_END_BYTES = 2;
   private static final int MAXIMUM_LENGTH_DIGITS = 18;
   private static final int DECIMAL = 10;
   private static final int FIRST_FINAL_STATUS = 200;
   private static final int SWITCHING_PROTOCOLS = 101;
   private static final int NO_CONTENT = 204;
-  private static final int RESET_CONTENT = 205;
   private static final int NOT_MODIFIED = 304;
   private static final long UNKNOWN = -1;
 
-  private final byte[] bytes;
-  private final int length;
+  private final LineBytes head;
+  private byte[] bytes;
+  private int length;
+  private int lineStart;
   private long contentLength = UNKNOWN;
   private boolean chunked;
 
-  private ResponseHead(byte[] bytes, int length) {
-    this.bytes = bytes;
-    this.length = length;
+  /** Creates a head that is read line by line from what is collected. */
+  ResponseHead(LineBytes head) {
+    this.head = head;
+  }
+
+  /** Checks the first line before it is whole: a peer may send nothing more. */
+  void requirePossibleStart() throws MalformedResponseException {
+    bytes = head.array();
+    length = head.length();
+    for (int i = 0; lineStart == 0 && i < Math.min(length, PROTOCOL.length); i++) {
+      if (bytes[i] != PROTOCOL[i]) {
+        throw malformed(ResponseFault.STATUS_LINE);
+      }
+    }
   }
 
   /**
-   * Reads a head.
+   * Reads the line that has just been collected with its end.
    *
-   * @param length of the head in the array, with the empty line that ends it
+   * @return whether it ends the head
    */
-  static ResponseHead parse(byte[] bytes, int length) throws MalformedResponseException {
-    ResponseHead head = new ResponseHead(bytes, length);
-    head.parse();
-    return head;
+  boolean onLine() throws MalformedResponseException {
+    bytes = head.array();
+    length = head.length();
+    if (lineStart == 0) {
+      readStatusLine();
+    } else if (length - lineStart == LINE_END_BYTES && bytes[lineStart] == '\r') {
+      requireConsistentLength();
+      return true;
+    } else {
+      requireNoStatusLineFrom(lineStart);
+      readField(lineStart);
+    }
+    lineStart = length;
+    return false;
+  }
+
+  boolean hasStatusLine() {
+    return lineStart > 0;
   }
 
   /** Whether another response follows that is the final one. */
@@ -63,7 +90,7 @@
 
   /** Whether the status allows no body whatever the fields say. */
   boolean isWithoutBody() {
-    return status() == NO_CONTENT || status() == NOT_MODIFIED || status() == RESET_CONTENT;
+    return status() == NO_CONTENT || status() == NOT_MODIFIED;
   }
 
   /** Whether the body ends with its connection. */
@@ -84,19 +111,12 @@
     return status;
   }
 
-  private void parse() throws MalformedResponseException {
+  private void readStatusLine() throws MalformedResponseException {
     if (!isStatusLineAt(0)) {
       throw malformed(ResponseFault.STATUS_LINE);
     }
-    int lineStart = requireTextUntilLineEnd(STATUS_LINE_START_BYTES - 1, ResponseFault.STATUS_LINE);
-    requireNoStatusLineAfter(1);
-    while (bytes[lineStart] != '\r') {
-      lineStart = field(lineStart);
-    }
-    if (lineStart + 2 != length) {
-      throw malformed(ResponseFault.FIELD);
-    }
-    requireConsistentLength();
+    requireNoStatusLineFrom(1);
+    requireText(STATUS_LINE_START_BYTES - 1, ResponseFault.STATUS_LINE);
   }
 
   /** Whether a status line begins here, up to the byte after its status. */
@@ -120,7 +140,7 @@
         && (end == ' ' || end == '\r');
   }
 
-  private void requireNoStatusLineAfter(int from) throws MalformedResponseException {
+  private void requireNoStatusLineFrom(int from) throws MalformedResponseException {
     for (int i = from; i + STATUS_LINE_START_BYTES <= length; i++) {
       if (bytes[i] == PROTOCOL[0] && isStatusLineAt(i)) {
         throw malformed(ResponseFault.STATUS_LINE_WITHIN_HEAD);
@@ -128,8 +148,7 @@
     }
   }
 
-  /** Reads a field; returns where the next line starts. */
-  private int field(int start) throws MalformedResponseException {
+  private void readField(int start) throws MalformedResponseException {
     int colon = start;
     while (ByteClasses.isToken(bytes[colon])) {
       colon++;
@@ -137,26 +156,23 @@
     if (colon == start || bytes[colon] != ':') {
       throw malformed(ResponseFault.FIELD);
     }
-    int next = requireTextUntilLineEnd(colon + 1, ResponseFault.FIELD);
+    requireText(colon + 1, ResponseFault.FIELD);
     if (isNamed(start, colon, "content-length")) {
-      readContentLength(colon + 1, next - 2);
+      readContentLength(colon + 1, length - LINE_END_BYTES);
     } else if (isNamed(start, colon, "transfer-encoding")) {
-      readTransferEncoding(colon + 1, next - 2);
+      readTransferEncoding(colon + 1, length - LINE_END_BYTES);
     }
-    return next;
   }
 
-  /** Returns where the next line starts. */
-  private int requireTextUntilLineEnd(int from, ResponseFault fault)
-      throws MalformedResponseException {
+  /** Requires text up to CR LF, which ends the line. */
+  private void requireText(int from, ResponseFault fault) throws MalformedResponseException {
     int end = from;
     while (ByteClasses.isText(bytes[end])) {
       end++;
     }
-    if (bytes[end] != '\r' || bytes[end + 1] != '\n') {
+    if (bytes[end] != '\r' || end + LINE_END_BYTES != length) {
       throw malformed(fault);
     }
-    return end + 2;
   }
 
   private boolean isNamed(int start, int end, String name) {
@@ -182,8 +198,7 @@
   private void requireConsistentLength() throws MalformedResponseException {
     boolean both = chunked && contentLength != UNKNOWN;
     boolean chunkedBeforeChunks = chunked && bytes[MINOR_VERSION_OFFSET] == '0';
-    boolean bodyOfReset = status() == RESET_CONTENT && (chunked || contentLength > 0);
-    if (both || chunkedBeforeChunks || bodyOfReset) {
+    if (both || chunkedBeforeChunks) {
       throw malformed(ResponseFault.BODY_LENGTH);
     }
     if (status() == SWITCHING_PROTOCOLS) {
