Store: an answer cut within its head is not joined with the next one

A store or a followed router that answers a call twice and stops within the head of the second answer left the unfinished head in the HTTP decoder of a pooled connection. The next answer was read as its rest: status, era and age of the surplus answer, body of the next one. A listing behind a torn refusal was told as 410, 429 or 503, and changes carried the era of an earlier answer.

Cause: the connections of StoreClient's pool decoded bytes that no call had asked for. The pool's connect handler now puts the guard of servers' connections on each of them; it is reported as FEED.

A listing torn ahead of a 410 was harmless before: the joined answer was a 200 without a document.

--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
@@ -131,7 +131,8 @@
             () -> router.follower(),
             feedCodec,
             settings.store(),
-            feedServer::onFollowed);
+            feedServer::onFollowed,
+            malformed);
     DelegateClient delegates = new DelegateClient(vertx, driver, () -> router.coordinator());
     delegated = new DelegateServer(driver, () -> router);
     PeerEndpoint endpoint =
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/MalformedResponses.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/MalformedResponses.java
@@ -36,6 +36,11 @@
     return counts.getOrDefault(kind, 0L);
   }
 
+  /** A listener for one connection of a pool, which drops it when it closes. */
+  ResponseListener ofPooled(PeerKind kind, String name) {
+    return of(kind, name, () -> {});
+  }
+
   /**
    * A listener for one connection.
    *
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/StoreClient.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/StoreClient.java
@@ -10,6 +10,7 @@
 import io.arrowarch.node.EventLoopDriver;
 import io.arrowarch.node.PeerEndpoint;
 import io.arrowarch.node.SocketAddressSetting;
+import io.arrowarch.node.http.GuardedClients;
 import io.vavr.control.Either;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -50,6 +51,7 @@
   private final FeedCodec codec;
   private final SocketAddressSetting store;
   private final Runnable onFollowed;
+  private final MalformedResponses malformed;
   private HttpClient client;
   private Optional<HttpClientRequest> unanswered = Optional.empty();
   private long listingCalls;
@@ -62,6 +64,7 @@
    * Creates a client.
    *
    * @param onFollowed run after each answer or failure, when what the follower holds may be newer
+   * @param malformed told of bytes that are no response
    */
   StoreClient(
       Vertx vertx,
@@ -69,22 +72,26 @@
       Supplier<StoreFollower> follower,
       FeedCodec codec,
       SocketAddressSetting store,
-      Runnable onFollowed) {
+      Runnable onFollowed,
+      MalformedResponses malformed) {
     this.vertx = vertx;
     this.driver = driver;
     this.follower = follower;
     this.codec = codec;
     this.store = store;
     this.onFollowed = onFollowed;
+    this.malformed = malformed;
     this.client = createClient();
   }
 
   private HttpClient createClient() {
-    return vertx.createHttpClient(
+    return GuardedClients.create(
+        vertx,
         new HttpClientOptions()
             .setTcpNoDelay(true)
             .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis()),
-        new PoolOptions().setHttp1MaxSize(CONNECTIONS));
+        new PoolOptions().setHttp1MaxSize(CONNECTIONS),
+        peer -> malformed.ofPooled(MalformedResponses.PeerKind.FEED, peer));
   }
 
   /** Pages of listings of the store since the start. */
--- a/arrowarch-node/src/test/java/io/arrowarch/node/forward/StoreClientTest.java
+++ b/arrowarch-node/src/test/java/io/arrowarch/node/forward/StoreClientTest.java
@@ -72,7 +72,8 @@
             StoreClientTest::follower,
             codec,
             new SocketAddressSetting("127.0.0.1", store.actualPort()),
-            () -> {});
+            () -> {},
+            new MalformedResponses(EventLog.NONE));
   }
 
   @AfterMethod
