Delegation: a reply names its search, and surplus bytes close the connection

A router that replied to a search twice had its second reply believed as the reply to the next search on the connection: its records and signatures would have been merged into the answer of another caller.

Cause: nothing in a reply told to which search it belongs. A search now carries its number and the reply repeats it; a reply with another number is BROKEN. Routers of earlier versions ignore the field and repeat none; their replies are believed without it, so that a rolling upgrade goes on. The connections of DelegateClient's pool are guarded as those to servers are.

Ruled out: replies torn at any byte, and replies cut by FIN at any byte, were harmless before as well, since the status of a reply is not read and its body must be one JSON object. DelegationCodecTest holds the number, and messages without one.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
@@ -31,7 +31,7 @@
  * Forwards callers' requests to servers. Each request is routed by the configuration in force when
  * it arrives.
  */
-public final class ForwardCoordinator {
+public final class ForwardCoordinator implements DelegateOutcomes {
   /**
    * The round trip that a caller spends on opening its connection: 3 ms each way at the sites with
    * the most distant callers. It is deducted from the objective; otherwise an answer sent exactly
@@ -509,11 +509,13 @@
   }
 
   /** Handles the reply of another router to parts that were delegated to it. */
+  @Override
   public void onDelegateReply(long number, DelegateReply reply) {
     delegator.onReply(number, reply);
   }
 
   /** Handles parts that were delegated to another router and ended without a reply. */
+  @Override
   public void onDelegateFailure(long number, DelegateFailure failure) {
     delegator.onFailure(number, failure);
   }
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/DelegateClient.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/DelegateClient.java
@@ -1,15 +1,16 @@
 package io.arrowarch.node.forward;
 
 import io.arrowarch.core.forward.DelegateFailure;
+import io.arrowarch.core.forward.DelegateOutcomes;
 import io.arrowarch.core.forward.DelegateReply;
 import io.arrowarch.core.forward.DelegateTransport;
 import io.arrowarch.core.forward.DelegatedSearch;
-import io.arrowarch.core.forward.ForwardCoordinator;
 import io.arrowarch.core.peer.LiveRouter;
 import io.arrowarch.node.BoundedBody;
 import io.arrowarch.node.EventLoopDriver;
 import io.arrowarch.node.PeerEndpoint;
 import io.arrowarch.node.SocketAddressSetting;
+import io.arrowarch.node.http.GuardedClients;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -32,14 +33,20 @@
 
   private final Vertx vertx;
   private final EventLoopDriver driver;
-  private final Supplier<ForwardCoordinator> coordinator;
+  private final Supplier<? extends DelegateOutcomes> outcomes;
+  private final MalformedResponses malformed;
   private final Map<String, Peer> peers = new HashMap<>();
   private final Map<Long, Sending> sending = new HashMap<>();
 
-  DelegateClient(Vertx vertx, EventLoopDriver driver, Supplier<ForwardCoordinator> coordinator) {
+  DelegateClient(
+      Vertx vertx,
+      EventLoopDriver driver,
+      Supplier<? extends DelegateOutcomes> outcomes,
+      MalformedResponses malformed) {
     this.vertx = vertx;
     this.driver = driver;
-    this.coordinator = coordinator;
+    this.outcomes = outcomes;
+    this.malformed = malformed;
   }
 
   /**
@@ -62,12 +69,14 @@
   }
 
   private HttpClient createClient() {
-    return vertx.createHttpClient(
+    return GuardedClients.create(
+        vertx,
         new HttpClientOptions()
             .setTcpNoDelay(true)
             .setKeepAliveTimeout((int) KEEP_ALIVE.toSeconds())
             .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis()),
-        new PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_ROUTER));
+        new PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_ROUTER),
+        peer -> malformed.ofPooled(MalformedResponses.PeerKind.ROUTER, peer));
   }
 
   @Override
@@ -111,11 +120,11 @@
         return;
       }
       request
-          .send(Buffer.buffer(DelegationCodec.encode(search)))
+          .send(Buffer.buffer(DelegationCodec.encode(number, search)))
           .compose(response -> BoundedBody.read(response, BoundedBody.MAXIMUM_REPLY_BYTES))
           .onSuccess(
               body ->
-                  DelegationCodec.decodeReply(body.getBytes())
+                  DelegationCodec.decodeReply(number, body.getBytes())
                       .onSuccess(this::end)
                       .onFailure(malformed -> fail(DelegateFailure.BROKEN)))
           .onFailure(failure -> fail(DelegateFailure.BROKEN));
@@ -132,7 +141,7 @@
       if (!ended) {
         ended = true;
         sending.remove(number);
-        driver.run(() -> coordinator.get().onDelegateReply(number, reply));
+        driver.run(() -> outcomes.get().onDelegateReply(number, reply));
       }
     }
 
@@ -140,7 +149,7 @@
       if (!ended) {
         ended = true;
         sending.remove(number);
-        driver.run(() -> coordinator.get().onDelegateFailure(number, failure));
+        driver.run(() -> outcomes.get().onDelegateFailure(number, failure));
       }
     }
   }
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/DelegateServer.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/DelegateServer.java
@@ -9,6 +9,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
+import java.util.Optional;
 import java.util.function.Supplier;
 
 /** Takes searches that other routers hand on. A router that closes its connection cancels one. */
@@ -35,19 +36,25 @@
   }
 
   private void onBody(HttpServerResponse response, Buffer body) {
-    DelegationCodec.decodeSearch(body.getBytes())
-        .onSuccess(search -> new Exchange(response).submit(search))
+    byte[] bytes = body.getBytes();
+    DelegationCodec.decodeNumber(bytes)
+        .flatMap(
+            number ->
+                DelegationCodec.decodeSearch(bytes)
+                    .onSuccess(search -> new Exchange(response, number).submit(search)))
         .onFailure(malformed -> response.setStatusCode(BAD_REQUEST).end());
   }
 
   /** One search and its reply. */
   private final class Exchange {
     private final HttpServerResponse response;
+    private final Optional<Long> number;
     private ForwardHandle handle = () -> {};
     private boolean ended;
 
-    Exchange(HttpServerResponse response) {
+    Exchange(HttpServerResponse response, Optional<Long> number) {
       this.response = response;
+      this.number = number;
     }
 
     void submit(DelegatedSearch search) {
@@ -63,7 +70,7 @@
       if (!ended) {
         ended = true;
         inProgress--;
-        response.end(Buffer.buffer(DelegationCodec.encode(reply)));
+        response.end(Buffer.buffer(DelegationCodec.encode(number, reply)));
       }
     }
 
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/DelegationCodec.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/DelegationCodec.java
@@ -25,10 +25,14 @@
 import java.util.Locale;
 import java.util.Optional;
 
-/** JSON of searches that routers hand to each other, and of the replies. Times are microseconds. */
+/**
+ * JSON of searches that routers hand to each other, and of the replies. Times are microseconds. A
+ * search carries a number that its reply repeats; routers of earlier versions do neither.
+ */
 final class DelegationCodec {
   private static final JsonFactory FACTORY = new JsonFactory();
   private static final long NANOS_PER_MICRO = 1_000;
+  private static final String NUMBER = "number";
 
   private DelegationCodec() {}
 
@@ -37,10 +41,11 @@
     void write(JsonGenerator json) throws IOException;
   }
 
-  static byte[] encode(DelegatedSearch search) {
+  static byte[] encode(long number, DelegatedSearch search) {
     ForwardedRequest request = search.request();
     return object(
         json -> {
+          json.writeNumberField(NUMBER, number);
           json.writeNumberField("version", search.version());
           json.writeNumberField("timeLeft", micros(search.timeLeft()));
           json.writeNumberField("objectiveLeft", micros(search.objectiveLeft()));
@@ -94,39 +99,66 @@
         });
   }
 
-  static byte[] encode(DelegateReply reply) {
-    if (reply instanceof DelegateReply.Answered answered) {
-      return encode(answered);
-    }
-    if (reply instanceof DelegateReply.Declined declined) {
-      return object(json -> json.writeStringField("declined", declined.reason()));
-    }
-    QueryError error = ((DelegateReply.Failed) reply).error();
-    return object(
-        json -> {
-          json.writeStringField("failed", error.kind().name());
-          json.writeStringField("detail", error.detail());
-          json.writeNumberField("retryAfter", micros(error.retryAfter().orElse(Duration.ZERO)));
-        });
+  /** The number of an encoded search; empty if its sender gave none. */
+  static Try<Optional<Long>> decodeNumber(byte[] search) {
+    return Try.of(() -> JsonFields.parse(search).optionalWhole(NUMBER));
   }
 
-  private static byte[] encode(DelegateReply.Answered answered) {
+  /**
+   * Encodes a reply.
+   *
+   * @param number of the search; empty if its sender gave none
+   */
+  static byte[] encode(Optional<Long> number, DelegateReply reply) {
     return object(
         json -> {
-          json.writeNumberField("took", micros(answered.took()));
-          json.writeNumberField("inProgress", answered.inProgress());
-          json.writeNumberField("missingParts", answered.answer().missingParts());
-          json.writeArrayFieldStart("signatures");
-          for (String signature : answered.answer().signatures()) {
-            json.writeString(signature);
+          if (number.isPresent()) {
+            json.writeNumberField(NUMBER, number.get());
           }
-          json.writeEndArray();
-          json.writeBinaryField("records", answered.answer().records().bytes());
+          writeReply(json, reply);
         });
   }
 
-  static Try<DelegateReply> decodeReply(byte[] bytes) {
-    return Try.of(() -> reply(JsonFields.parse(bytes)));
+  private static void writeReply(JsonGenerator json, DelegateReply reply) throws IOException {
+    if (reply instanceof DelegateReply.Answered answered) {
+      writeAnswered(json, answered);
+    } else if (reply instanceof DelegateReply.Declined declined) {
+      json.writeStringField("declined", declined.reason());
+    } else if (reply instanceof DelegateReply.Failed failed) {
+      QueryError error = failed.error();
+      json.writeStringField("failed", error.kind().name());
+      json.writeStringField("detail", error.detail());
+      json.writeNumberField("retryAfter", micros(error.retryAfter().orElse(Duration.ZERO)));
+    }
+  }
+
+  private static void writeAnswered(JsonGenerator json, DelegateReply.Answered answered)
+      throws IOException {
+    json.writeNumberField("took", micros(answered.took()));
+    json.writeNumberField("inProgress", answered.inProgress());
+    json.writeNumberField("missingParts", answered.answer().missingParts());
+    json.writeArrayFieldStart("signatures");
+    for (String signature : answered.answer().signatures()) {
+      json.writeString(signature);
+    }
+    json.writeEndArray();
+    json.writeBinaryField("records", answered.answer().records().bytes());
+  }
+
+  /**
+   * Reads a reply; fails if it repeats the number of another search. A reply without a number is of
+   * a router that repeats none.
+   */
+  static Try<DelegateReply> decodeReply(long number, byte[] bytes) {
+    return Try.of(
+        () -> {
+          JsonFields fields = JsonFields.parse(bytes);
+          Optional<Long> repeated = fields.optionalWhole(NUMBER);
+          if (repeated.isPresent() && repeated.get() != number) {
+            throw new IOException("the reply is to search " + repeated.get() + ", not " + number);
+          }
+          return reply(fields);
+        });
   }
 
   private static DelegateReply reply(JsonFields fields) {
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
@@ -133,7 +133,8 @@
             settings.store(),
             feedServer::onFollowed,
             malformed);
-    DelegateClient delegates = new DelegateClient(vertx, driver, () -> router.coordinator());
+    DelegateClient delegates =
+        new DelegateClient(vertx, driver, () -> router.coordinator(), malformed);
     delegated = new DelegateServer(driver, () -> router);
     PeerEndpoint endpoint =
         new PeerEndpoint(
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/WarmUpOrigin.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/WarmUpOrigin.java
@@ -58,7 +58,9 @@
     EventLoopDriver driver =
         new EventLoopDriver(
             vertx, context, () -> timers.runDue(System.nanoTime()), timers::nextDueNanos);
-    this.delegates = new DelegateClient(vertx, driver, () -> router().coordinator());
+    this.delegates =
+        new DelegateClient(
+            vertx, driver, () -> router().coordinator(), new MalformedResponses(EventLog.NONE));
     this.peers =
         vertx
             .createHttpServer(new HttpServerOptions().setHost(ForwardWarmUp.LOOPBACK).setPort(0))
--- a/arrowarch-node/src/test/java/io/arrowarch/node/SurplusAnswerStandIn.java
+++ b/arrowarch-node/src/test/java/io/arrowarch/node/SurplusAnswerStandIn.java
@@ -1,5 +1,6 @@
 package io.arrowarch.node;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
@@ -18,6 +19,7 @@
   private final List<NetSocket> open = new CopyOnWriteArrayList<>();
   private Exchange exchange = new Exchange(Moment.WITH_ANSWER_BEFORE, "", "", "");
   private int requests;
+  private boolean endsAfterNext;
 
   /** When the surplus bytes are written. */
   public enum Moment {
@@ -65,6 +67,11 @@
     requests = 0;
   }
 
+  /** Closes the connection behind each next answer, from now on. */
+  public synchronized void endConnectionsAfterNext() {
+    endsAfterNext = true;
+  }
+
   public String address() {
     return "127.0.0.1:" + port();
   }
@@ -102,7 +109,10 @@
     if (requests++ == 0) {
       answerFirst(socket, exchange);
     } else {
-      answerNext(socket, exchange);
+      Future<Void> written = answerNext(socket, exchange);
+      if (endsAfterNext) {
+        written.onComplete(done -> socket.end());
+      }
     }
   }
 
@@ -115,12 +125,12 @@
     }
   }
 
-  private static void answerNext(NetSocket socket, Exchange exchange) {
-    switch (exchange.moment()) {
+  private static Future<Void> answerNext(NetSocket socket, Exchange exchange) {
+    return switch (exchange.moment()) {
       case AHEAD_OF_NEXT_ANSWER ->
-          socket.write(exchange.surplus()).onSuccess(written -> socket.write(exchange.next()));
+          socket.write(exchange.surplus()).compose(written -> socket.write(exchange.next()));
       case WITH_NEXT_ANSWER -> socket.write(exchange.surplus() + exchange.next());
       case WITH_ANSWER_BEFORE, AFTER_ANSWER_BEFORE -> socket.write(exchange.next());
-    }
+    };
   }
 }
--- a/arrowarch-node/src/test/java/io/arrowarch/node/forward/DelegateClientTest.java
+++ b/arrowarch-node/src/test/java/io/arrowarch/node/forward/DelegateClientTest.java
@@ -78,7 +78,8 @@
         new DelegateClient(
             vertx,
             new EventLoopDriver(vertx, context, this::onReply, OptionalLong::empty),
-            DelegateClientTest::coordinator);
+            DelegateClientTest::coordinator,
+            new MalformedResponses(EventLog.NONE));
   }
 
   @AfterMethod
@@ -117,7 +118,9 @@
   private static void decline(HttpServerRequest request) {
     request
         .response()
-        .end(Buffer.buffer(DelegationCodec.encode(new DelegateReply.Declined("no reason"))));
+        .end(
+            Buffer.buffer(
+                DelegationCodec.encode(Optional.empty(), new DelegateReply.Declined("no reason"))));
   }
 
   private static ForwardCoordinator coordinator() {
--- a/arrowarch-node/src/test/java/io/arrowarch/node/forward/DelegationCodecTest.java
+++ b/arrowarch-node/src/test/java/io/arrowarch/node/forward/DelegationCodecTest.java
@@ -41,7 +41,7 @@
 
   @Test
   public void aSearchComesOutAsItWentIn() {
-    assertThat(DelegationCodec.decodeSearch(DelegationCodec.encode(SEARCH)).get())
+    assertThat(DelegationCodec.decodeSearch(DelegationCodec.encode(5, SEARCH)).get())
         .isEqualTo(SEARCH);
   }
 
@@ -73,7 +73,30 @@
 
   @Test(dataProvider = "replies")
   public void aReplyComesOutAsItWentIn(DelegateReply reply) {
-    assertThat(DelegationCodec.decodeReply(DelegationCodec.encode(reply)).get()).isEqualTo(reply);
+    assertThat(DelegationCodec.decodeReply(5, DelegationCodec.encode(Optional.of(5L), reply)).get())
+        .isEqualTo(reply);
+    assertThat(
+            DelegationCodec.decodeReply(5, DelegationCodec.encode(Optional.empty(), reply)).get())
+        .isEqualTo(reply);
+  }
+
+  /** The records of one search are not merged into the answer to another. */
+  @Test(dataProvider = "replies")
+  public void aReplyToAnotherSearchIsRefused(DelegateReply reply) {
+    byte[] encoded = DelegationCodec.encode(Optional.of(4L), reply);
+
+    assertThat(DelegationCodec.decodeReply(5, encoded).isFailure()).isTrue();
+  }
+
+  /** The number is repeated as it came; a search of a router that gives none is understood. */
+  @Test
+  public void aSearchHasItsNumberOrNone() {
+    byte[] encoded = DelegationCodec.encode(5, SEARCH);
+    String withoutNumber = new String(encoded, UTF_8).replace("\"number\":5,", "");
+
+    assertThat(DelegationCodec.decodeNumber(encoded).get()).contains(5L);
+    assertThat(DelegationCodec.decodeNumber(withoutNumber.getBytes(UTF_8)).get()).isEmpty();
+    assertThat(DelegationCodec.decodeSearch(withoutNumber.getBytes(UTF_8)).get()).isEqualTo(SEARCH);
   }
 
   @DataProvider
@@ -90,13 +113,13 @@
 
   @Test(dataProvider = "malformed")
   public void whatIsNoMessageIsRefused(String text) {
-    assertThat(DelegationCodec.decodeReply(text.getBytes(UTF_8)).isFailure()).isTrue();
+    assertThat(DelegationCodec.decodeReply(5, text.getBytes(UTF_8)).isFailure()).isTrue();
     assertThat(DelegationCodec.decodeSearch(text.getBytes(UTF_8)).isFailure()).isTrue();
   }
 
   @Test
   public void aHeaderWithoutValueIsRefused() {
-    String text = new String(DelegationCodec.encode(SEARCH), UTF_8).replace(",\"\"]", "]");
+    String text = new String(DelegationCodec.encode(5, SEARCH), UTF_8).replace(",\"\"]", "]");
 
     assertThat(DelegationCodec.decodeSearch(text.getBytes(UTF_8)).isFailure()).isTrue();
   }
