Store: a watch answer is not taken for a listing, nor the other way round

A whole surplus answer to a watch that arrives where a page of a listing is due was read as that page: without changes it was the complete listing of an empty store, upon which every server and key is removed. A listing taken for a watch answer moved the position past deletions that it does not name.

Cause: the answer's own list (items or events) decided how it was read. The decoder is now told what was asked, and an answer with the other list is NO_ANSWER, after which the call is made again. An answer without any list is read as before, since the pages do not say that an empty one is present. The same holds for answers of followed routers.

--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/FeedCodec.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/FeedCodec.java
@@ -24,10 +24,19 @@
   /** Name of the header in which each answer of the store states its era, a whole number. */
   String eraHeader();
 
+  /** What was asked. */
+  enum Question {
+    /** A page of a listing, or the listing of another router. */
+    LISTING,
+    /** The changes after a revision. */
+    CHANGES
+  }
+
   /**
-   * Reads an answer to either, or the listing of another router.
+   * Reads an answer; fails if it is the answer to another kind of question.
    *
    * @param era as the answer's header states it; empty when there is none
    */
-  Either<FeedFailure, FeedAnswer> decode(int status, Optional<String> era, byte[] body);
+  Either<FeedFailure, FeedAnswer> decode(
+      Question question, int status, Optional<String> era, byte[] body);
 }
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardWarmUp.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardWarmUp.java
@@ -134,7 +134,7 @@
   /** Runs; completes with the number of searches answered, and never fails. */
   Future<Integer> run() {
     for (int i = 0; i < LISTINGS; i++) {
-      feedCodec.decode(OK, Optional.empty(), codec.listing());
+      feedCodec.decode(FeedCodec.Question.LISTING, OK, Optional.empty(), codec.listing());
     }
     return backend
         .listen()
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/StoreClient.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/StoreClient.java
@@ -52,6 +52,12 @@
   private final SocketAddressSetting store;
   private final Runnable onFollowed;
   private final MalformedResponses malformed;
+  private final AnswerHandler pages =
+      new AnswerHandler(FeedCodec.Question.LISTING, this::onStoreAnswer);
+  private final AnswerHandler storeChanges =
+      new AnswerHandler(FeedCodec.Question.CHANGES, this::onStoreAnswer);
+  private final AnswerHandler peerChanges =
+      new AnswerHandler(FeedCodec.Question.CHANGES, this::onPeerAnswer);
   private HttpClient client;
   private Optional<HttpClientRequest> unanswered = Optional.empty();
   private long listingCalls;
@@ -117,13 +123,13 @@
   @Override
   public void list(long call, Optional<String> afterKey, Duration timeout) {
     listingCalls++;
-    get(call, store, codec.listTarget(afterKey), timeout, this::onStoreAnswer);
+    get(call, store, codec.listTarget(afterKey), timeout, pages);
   }
 
   @Override
   public void watch(long call, StoreRevision after, Duration longestWait, Duration timeout) {
     watchCalls++;
-    get(call, store, codec.watchTarget(after, longestWait), timeout, this::onStoreAnswer);
+    get(call, store, codec.watchTarget(after, longestWait), timeout, storeChanges);
   }
 
   @Override
@@ -140,7 +146,7 @@
                 after.era(),
                 FeedServer.WAIT,
                 longestWait.toMillis());
-    get(call, SocketAddressSetting.parse(address), target, timeout, this::onPeerAnswer);
+    get(call, SocketAddressSetting.parse(address), target, timeout, peerChanges);
   }
 
   @Override
@@ -169,7 +175,7 @@
         () ->
             CompressedListing.read(response.headers(), body.getBytes())
                 .toEither(FeedFailure.NO_ANSWER)
-                .flatMap(bytes -> decode(response, bytes))
+                .flatMap(bytes -> decode(FeedCodec.Question.LISTING, response, bytes))
                 .peek(listing -> follower.get().onPeerListing(listing, age))
                 .peekLeft(failure -> follower.get().onPeerListingFailed()));
   }
@@ -179,19 +185,27 @@
   }
 
   /** An answer that cannot be decoded is a failure: without one no other call would follow. */
-  private Either<FeedFailure, FeedAnswer> decode(HttpClientResponse response, byte[] body) {
+  private Either<FeedFailure, FeedAnswer> decode(
+      FeedCodec.Question question, HttpClientResponse response, byte[] body) {
     Optional<String> era = Optional.ofNullable(response.getHeader(codec.eraHeader()));
     try {
-      return codec.decode(response.statusCode(), era, body);
+      return codec.decode(question, response.statusCode(), era, body);
     } catch (RuntimeException | StackOverflowError e) {
       Log.logger.atSevere().withCause(e).log("Store: an answer could not be decoded.");
       return Either.left(FeedFailure.NO_ANSWER);
     }
   }
 
-  /** Takes an answer that could be decoded. */
-  private interface AnswerHandler {
-    void handle(long call, FeedAnswer answer, HttpClientResponse response);
+  /** What was asked, and who takes an answer that could be decoded. */
+  private record AnswerHandler(FeedCodec.Question question, AnswerConsumer consumer) {
+    void handle(long call, FeedAnswer answer, HttpClientResponse response) {
+      consumer.accept(call, answer, response);
+    }
+  }
+
+  /** Tells the follower an answer. */
+  private interface AnswerConsumer {
+    void accept(long call, FeedAnswer answer, HttpClientResponse response);
   }
 
   private void onStoreAnswer(long call, FeedAnswer answer, HttpClientResponse response) {
@@ -241,7 +255,7 @@
     }
     driver.run(
         () ->
-            decode(response, body.getBytes())
+            decode(handler.question(), response, body.getBytes())
                 .peek(answer -> handler.handle(call, answer, response))
                 .peekLeft(failure -> follower.get().onFailure(call, failure)));
     onFollowed.run();
--- a/arrowarch-node/src/test/java/io/arrowarch/node/forward/StoreClientTest.java
+++ b/arrowarch-node/src/test/java/io/arrowarch/node/forward/StoreClientTest.java
@@ -197,7 +197,8 @@
     }
 
     @Override
-    public Either<FeedFailure, FeedAnswer> decode(int status, Optional<String> era, byte[] body) {
+    public Either<FeedFailure, FeedAnswer> decode(
+        Question question, int status, Optional<String> era, byte[] body) {
       if (exhaustsStack) {
         throw new StackOverflowError();
       }
--- a/arrowarch-node/src/test/java/io/arrowarch/node/forward/TornStoreAnswerTest.java
+++ b/arrowarch-node/src/test/java/io/arrowarch/node/forward/TornStoreAnswerTest.java
@@ -175,7 +175,8 @@
     }
 
     @Override
-    public Either<FeedFailure, FeedAnswer> decode(int status, Optional<String> era, byte[] body) {
+    public Either<FeedFailure, FeedAnswer> decode(
+        Question question, int status, Optional<String> era, byte[] body) {
       String text = new String(body, StandardCharsets.ISO_8859_1);
       boolean whole = text.startsWith("{\"") && text.endsWith("\"}");
       if (status != 200 || whole) {
