--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
@@ -131,8 +131,10 @@
             () -> router.follower(),
             feedCodec,
             settings.store(),
-            feedServer::onFollowed);
-    DelegateClient delegates = new DelegateClient(vertx, driver, () -> router.coordinator());
+            feedServer::onFollowed,
+            malformed);
+    DelegateClient delegates =
+        new DelegateClient(vertx, driver, () -> router.coordinator(), malformed);
     delegated = new DelegateServer(driver, () -> router);
     PeerEndpoint endpoint =
         new PeerEndpoint(
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/StoreClient.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/StoreClient.java
@@ -10,6 +10,7 @@
 import io.arrowarch.node.EventLoopDriver;
 import io.arrowarch.node.PeerEndpoint;
 import io.arrowarch.node.SocketAddressSetting;
+import io.arrowarch.node.http.GuardedClients;
 import io.vavr.control.Either;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -50,6 +51,13 @@
   private final FeedCodec codec;
   private final SocketAddressSetting store;
   private final Runnable onFollowed;
+  private final MalformedResponses malformed;
+  private final AnswerHandler pages =
+      new AnswerHandler(FeedCodec.Question.LISTING, this::onStoreAnswer);
+  private final AnswerHandler storeChanges =
+      new AnswerHandler(FeedCodec.Question.CHANGES, this::onStoreAnswer);
+  private final AnswerHandler peerChanges =
+      new AnswerHandler(FeedCodec.Question.CHANGES, this::onPeerAnswer);
   private HttpClient client;
   private Optional<HttpClientRequest> unanswered = Optional.empty();
   private long listingCalls;
@@ -62,6 +70,7 @@
    * Creates a client.
    *
    * @param onFollowed run after each answer or failure, when what the follower holds may be newer
+   * @param malformed told of bytes that are no response
    */
   StoreClient(
       Vertx vertx,
@@ -69,22 +78,26 @@
       Supplier<StoreFollower> follower,
       FeedCodec codec,
       SocketAddressSetting store,
-      Runnable onFollowed) {
+      Runnable onFollowed,
+      MalformedResponses malformed) {
     this.vertx = vertx;
     this.driver = driver;
     this.follower = follower;
     this.codec = codec;
     this.store = store;
     this.onFollowed = onFollowed;
+    this.malformed = malformed;
     this.client = createClient();
   }
 
   private HttpClient createClient() {
-    return vertx.createHttpClient(
+    return GuardedClients.create(
+        vertx,
         new HttpClientOptions()
             .setTcpNoDelay(true)
             .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis()),
-        new PoolOptions().setHttp1MaxSize(CONNECTIONS));
+        new PoolOptions().setHttp1MaxSize(CONNECTIONS),
+        peer -> malformed.ofPooled(MalformedResponses.PeerKind.FEED, peer));
   }
 
   /** Pages of listings of the store since the start. */
@@ -110,13 +123,13 @@
   @Override
   public void list(long call, Optional<String> afterKey, Duration timeout) {
     listingCalls++;
-    get(call, store, codec.listTarget(afterKey), timeout, this::onStoreAnswer);
+    get(call, store, codec.listTarget(afterKey), timeout, pages);
   }
 
   @Override
   public void watch(long call, StoreRevision after, Duration longestWait, Duration timeout) {
     watchCalls++;
-    get(call, store, codec.watchTarget(after, longestWait), timeout, this::onStoreAnswer);
+    get(call, store, codec.watchTarget(after, longestWait), timeout, storeChanges);
   }
 
   @Override
@@ -133,7 +146,7 @@
                 after.era(),
                 FeedServer.WAIT,
                 longestWait.toMillis());
-    get(call, SocketAddressSetting.parse(address), target, timeout, this::onPeerAnswer);
+    get(call, SocketAddressSetting.parse(address), target, timeout, peerChanges);
   }
 
   @Override
@@ -162,7 +175,7 @@
         () ->
             CompressedListing.read(response.headers(), body.getBytes())
                 .toEither(FeedFailure.NO_ANSWER)
-                .flatMap(bytes -> decode(response, bytes))
+                .flatMap(bytes -> decode(FeedCodec.Question.LISTING, response, bytes))
                 .peek(listing -> follower.get().onPeerListing(listing, age))
                 .peekLeft(failure -> follower.get().onPeerListingFailed()));
   }
@@ -172,19 +185,27 @@
   }
 
   /** An answer that cannot be decoded is a failure: without one no other call would follow. */
-  private Either<FeedFailure, FeedAnswer> decode(HttpClientResponse response, byte[] body) {
+  private Either<FeedFailure, FeedAnswer> decode(
+      FeedCodec.Question question, HttpClientResponse response, byte[] body) {
     Optional<String> era = Optional.ofNullable(response.getHeader(codec.eraHeader()));
     try {
-      return codec.decode(response.statusCode(), era, body);
+      return codec.decode(question, response.statusCode(), era, body);
     } catch (RuntimeException | StackOverflowError e) {
       Log.logger.atSevere().withCause(e).log("Store: an answer could not be decoded.");
       return Either.left(FeedFailure.NO_ANSWER);
     }
   }
 
-  /** Takes an answer that could be decoded. */
-  private interface AnswerHandler {
-    void handle(long call, FeedAnswer answer, HttpClientResponse response);
+  /** What was asked, and who takes an answer that could be decoded. */
+  private record AnswerHandler(FeedCodec.Question question, AnswerConsumer consumer) {
+    void handle(long call, FeedAnswer answer, HttpClientResponse response) {
+      consumer.accept(call, answer, response);
+    }
+  }
+
+  /** Tells the follower an answer. */
+  private interface AnswerConsumer {
+    void accept(long call, FeedAnswer answer, HttpClientResponse response);
   }
 
   private void onStoreAnswer(long call, FeedAnswer answer, HttpClientResponse response) {
@@ -234,7 +255,7 @@
     }
     driver.run(
         () ->
-            decode(response, body.getBytes())
+            decode(handler.question(), response, body.getBytes())
                 .peek(answer -> handler.handle(call, answer, response))
                 .peekLeft(failure -> follower.get().onFailure(call, failure)));
     onFollowed.run();
--- a/arrowarch-node/src/test/java/io/arrowarch/node/forward/StoreClientTest.java
+++ b/arrowarch-node/src/test/java/io/arrowarch/node/forward/StoreClientTest.java
@@ -72,7 +72,8 @@
             StoreClientTest::follower,
             codec,
             new SocketAddressSetting("127.0.0.1", store.actualPort()),
-            () -> {});
+            () -> {},
+            new MalformedResponses(EventLog.NONE));
   }
 
   @AfterMethod
@@ -196,7 +197,8 @@
     }
 
     @Override
-    public Either<FeedFailure, FeedAnswer> decode(int status, Optional<String> era, byte[] body) {
+    public Either<FeedFailure, FeedAnswer> decode(
+        Question question, int status, Optional<String> era, byte[] body) {
       if (exhaustsStack) {
         throw new StackOverflowError();
       }
