Servers: a connection carries no second request with the same id

What callers saw (on sockets, by tests): a success where the server had answered the request with a failure. A surplus answer to the first sending of a request came when the request was sent again on the kept connection, and was taken for the answer to the second sending. The id is the caller's, so that both answers carry it.

Causes of a second sending to one server: the search behind its canary, a part after a lost answer and an answer (see RepeatedAttemptProperties), and callers that use an id twice.

Why it is complete: a byte on an idle connection closes it, and an answer with another id than the awaited one does. So a surplus answer does harm only where a request with its id is awaited on its connection, and it comes on no other connection. The last id alone is not enough: a server may answer X, Y, and then X a second time when X is due again; the test with requests in between shows it. So the connection keeps all ids, as 32-bit hashes in at most 8 KiB, and is replaced after 1,024 requests. Two ids with one hash cost another connection and no more. If only connections with the id are idle, one of them is closed, so that repeats do not add to the server's connections.

Ruled out: a time or a number of requests after which an id is forgotten while the connection goes on (nothing bounds how late a surplus answer is); a Bloom filter (false matches open connections long before 1,024 requests).

--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ServerClient.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ServerClient.java
@@ -54,7 +54,8 @@
   public void send(ServerAttempt attempt) {
     Sending started = new Sending(attempt);
     sending.put(attempt.number(), started);
-    Optional<ServerConnection> idle = connections.takeIdle(attempt.server().id());
+    Optional<ServerConnection> idle =
+        connections.takeIdle(attempt.server().id(), attempt.request().id());
     if (idle.isPresent()) {
       started.write(idle.get());
     } else {
@@ -105,6 +106,7 @@
 
     private void write(ServerConnection taken) {
       connection = taken;
+      taken.onRequest(attempt.request().id());
       taken
           .connection()
           .request(
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ServerConnection.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ServerConnection.java
@@ -17,11 +17,15 @@
   /** The server counts from when it sent its answer, and its close takes its time to arrive. */
   private static final double REST_FRACTION = 0.7;
 
+  /** Bounds the memory of a connection; one that has carried as many is replaced. */
+  private static final int MAXIMUM_REQUESTS = 1_024;
+
   private static final String KEEP_ALIVE = "Keep-Alive";
   private static final Pattern TIMEOUT =
       Pattern.compile("(?i)\\s*timeout\\s*=\\s*([0-9]{1,6})\\s*");
 
   private final HttpClientConnection connection;
+  private final CarriedRequests carried = new CarriedRequests(MAXIMUM_REQUESTS);
   private long restUntilNanos;
 
   /** A server says the same in each of its answers; it is read once. */
@@ -46,7 +50,20 @@
 
   /** Whether it may take another request without the risk that its server just closes it. */
   boolean isFresh() {
-    return open && System.nanoTime() < restUntilNanos;
+    return open && System.nanoTime() < restUntilNanos && !carried.isFull();
+  }
+
+  /**
+   * Whether it may have carried a request with this id. A second answer to that request, however
+   * late, would be taken for the answer to another one with the same id.
+   */
+  boolean mayHaveCarried(String requestId) {
+    return carried.mayContain(requestId);
+  }
+
+  /** Notes a request that is about to be written. */
+  void onRequest(String requestId) {
+    carried.add(requestId);
   }
 
   void onClosed() {
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ServerConnections.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ServerConnections.java
@@ -13,6 +13,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.Optional;
 
@@ -48,16 +49,28 @@
     return failed;
   }
 
-  /** An idle connection, if there is one that may take a request. */
-  Optional<ServerConnection> takeIdle(String serverId) {
+  /**
+   * An idle connection, if there is one that may take this request. None that has carried a request
+   * with the same id may. If there are only such ones, the one that rested most is closed, so that
+   * a new connection does not add to their number.
+   */
+  Optional<ServerConnection> takeIdle(String serverId, String requestId) {
     Deque<ServerConnection> resting = idle.get(serverId);
-    while (resting != null && !resting.isEmpty()) {
-      ServerConnection connection = resting.pollLast();
-      if (connection.isFresh()) {
+    if (resting == null) {
+      return Optional.empty();
+    }
+    Iterator<ServerConnection> latestFirst = resting.descendingIterator();
+    while (latestFirst.hasNext()) {
+      ServerConnection connection = latestFirst.next();
+      if (!connection.isFresh()) {
+        latestFirst.remove();
+        connection.close();
+      } else if (!connection.mayHaveCarried(requestId)) {
+        latestFirst.remove();
         return Optional.of(connection);
       }
-      connection.close();
     }
+    Optional.ofNullable(resting.pollFirst()).ifPresent(ServerConnection::close);
     return Optional.empty();
   }
 
