Forwarding: no call depth grows with the requests that wait

Cause: a request that ends started the requests that wait for its connections inside its own call. These may end at once in turn, since the request is suspected, its key is gone or unconfirmed, too little time is left, the router stops, or the attempt can't be written. Some ninety overflow 256 KB of stack; all of them counted as finished, and were to be answered on the way back. A search that left the slow start and found no server did the same through onEnd. Change: WorkQueue, one list of tasks in the coordinator. A task submitted by a task runs after it. Starting parts that wait for a service and delivering a final answer are tasks. One task that throws keeps none of the others from running, and a request whose close throws is answered. Why it works: the frames between one event and any task are the same, whatever waits. The start comes before the answer, as before, so that a request that a caller sends on its answer doesn't overtake those that wait. Answers to requests that end together come in the order of arrival; the last one came first before. Ruled out: answers before the start of others, which gives the connection to the caller's next request; one task per freed connection, of which each copies the list of those that wait.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/AttemptSender.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/AttemptSender.java
@@ -15,9 +15,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.ToIntFunction;
 import java.util.random.RandomGenerator;
 
@@ -45,8 +47,13 @@
   private final SuspectRequests suspects;
   private final EventLog events;
   private final ToIntFunction<String> connectionShare;
+  private final WorkQueue work;
   private final Map<Long, InFlightAttempt> inFlight = new HashMap<>();
   private final SetMultimap<String, WaitingPart> waitingParts = LinkedHashMultimap.create();
+
+  /** Services whose waiting parts a submitted task will start. */
+  private final Set<String> servicesToStart = new HashSet<>();
+
   private long nextNumber = 1;
 
   private record InFlightAttempt(
@@ -65,7 +72,8 @@
       ServerTransport transport,
       SuspectRequests suspects,
       EventLog events,
-      ToIntFunction<String> connectionShare) {
+      ToIntFunction<String> connectionShare,
+      WorkQueue work) {
     this.clock = clock;
     this.timers = timers;
     this.directory = directory;
@@ -77,6 +85,7 @@
     this.suspects = suspects;
     this.events = events;
     this.connectionShare = connectionShare;
+    this.work = work;
   }
 
   ForwardOptions options() {
@@ -286,7 +295,21 @@
     }
   }
 
+  /**
+   * Starts parts that wait for a connection. A request that is started may end at once and free
+   * connections in turn, so this is a task and is never run inside itself.
+   */
   private void startWaitingParts(String service) {
+    if (waitingParts.containsKey(service) && servicesToStart.add(service)) {
+      work.execute(
+          () -> {
+            servicesToStart.remove(service);
+            startWaitingPartsNow(service);
+          });
+    }
+  }
+
+  private void startWaitingPartsNow(String service) {
     for (WaitingPart waiting : ImmutableList.copyOf(waitingParts.get(service))) {
       if (!waiting.part().isWaiting() || waiting.execution().isFinished()) {
         waitingParts.remove(service, waiting);
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
@@ -76,6 +76,7 @@
   private final CrashGuard crashGuard;
   private final long startNanos;
   private final RequestsInProgress inProgress = new RequestsInProgress();
+  private final WorkQueue work = new WorkQueue();
   private final RouteStates routeStates;
   private Optional<RoutingConfiguration> configuration = Optional.empty();
 
@@ -171,7 +172,8 @@
             transport,
             suspects,
             events,
-            shares::share);
+            shares::share,
+            work);
   }
 
   /** Puts a configuration in force. Requests in progress keep the one they started with. */
@@ -487,6 +489,7 @@
             clock,
             timers,
             events,
+            work,
             sink);
     inProgress.add(execution);
     if (route.target() instanceof RouteTarget.AllShards) {
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
@@ -42,6 +42,7 @@
   private final RouterClock clock;
   private final TimerQueue timers;
   private final RequestLog log;
+  private final WorkQueue work;
   private final Consumer<Either<QueryError, ForwardedAnswer>> callback;
   private final Hedging hedging;
   private final DelegatedParts delegatedParts;
@@ -66,6 +67,7 @@
       RouterClock clock,
       TimerQueue timers,
       EventLog events,
+      WorkQueue work,
       Consumer<Either<QueryError, ForwardedAnswer>> callback) {
     this.request = request;
     this.route = route;
@@ -85,6 +87,7 @@
     this.clock = clock;
     this.timers = timers;
     this.log = new RequestLog(request, route, version, times, monitor, clock, events);
+    this.work = work;
     this.callback = callback;
     this.delegatedParts = new DelegatedParts(this, parts);
     this.hedging =
@@ -277,8 +280,11 @@
 
   /** Refuses a request that has not been started. */
   void refuse(String detail, Duration retryAfter) {
-    finish("refused", ErrorKind.OVERLOADED.wireName(), detail);
-    deliver(Either.left(QueryError.of(ErrorKind.OVERLOADED, detail).withRetryAfter(retryAfter)));
+    finish(
+        "refused",
+        ErrorKind.OVERLOADED.wireName(),
+        detail,
+        Either.left(QueryError.of(ErrorKind.OVERLOADED, detail).withRetryAfter(retryAfter)));
   }
 
   /** Cancels the attempts of a request whose caller has disconnected. */
@@ -286,7 +292,7 @@
     if (finished) {
       return;
     }
-    finish("cancelled", "", "the caller has gone");
+    close("cancelled", "", "the caller has gone");
     parts.forEach(sender::cancelAll);
     delegatedParts.cancel();
     onEnd.run();
@@ -440,8 +446,7 @@
 
   private void finishWithAnswer(String reason) {
     ForwardedAnswer answer = isSearch() ? merged() : serverAnswer();
-    finish(tally.missing() > 0 ? "partial" : "answered", "", reason);
-    deliver(Either.right(answer));
+    finish(tally.missing() > 0 ? "partial" : "answered", "", reason, Either.right(answer));
   }
 
   private ForwardedAnswer serverAnswer() {
@@ -456,8 +461,8 @@
   private void finishWithoutMinimum() {
     Optional<ServerReply> failure = serverFailure();
     if (failure.isPresent()) {
-      finish("failed", "", "the server's error response is passed on");
-      deliver(Either.right(new ForwardedAnswer.FromServer(failure.get())));
+      ForwardedAnswer answer = new ForwardedAnswer.FromServer(failure.get());
+      finish("failed", "", "the server's error response is passed on", Either.right(answer));
     } else if (monitor.isSuspected()) {
       finishWithError(ErrorKind.ENDS_SERVERS, "servers that ran this request have ended");
     } else if (!mayRun()) {
@@ -479,8 +484,8 @@
     Optional<Duration> retryAfter =
         kind.retryable() ? Optional.of(retryAfter(kind)) : Optional.empty();
     QueryError error = new QueryError(kind, detail, executed, retryAfter);
-    finish(executed == Executed.NO ? "refused" : "failed", kind.wireName(), detail);
-    deliver(Either.left(error));
+    String outcome = executed == Executed.NO ? "refused" : "failed";
+    finish(outcome, kind.wireName(), detail, Either.left(error));
   }
 
   private Duration retryAfter(ErrorKind kind) {
@@ -492,7 +497,24 @@
     onEnd.run();
   }
 
-  private void finish(String outcome, String error, String reason) {
+  /**
+   * Closes the request and gives the final answer, even if closing fails. The answer is a task that
+   * runs after the start of requests that wait for the freed connections, so that a caller that
+   * sends its next request at once does not overtake them.
+   */
+  private void finish(
+      String outcome,
+      String error,
+      String reason,
+      Either<QueryError, ForwardedAnswer> finalAnswer) {
+    try {
+      close(outcome, error, reason);
+    } finally {
+      work.execute(() -> deliver(finalAnswer));
+    }
+  }
+
+  private void close(String outcome, String error, String reason) {
     finished = true;
     inProgress.remove(this);
     ownTimers.forEach(TimerQueue.Timer::cancel);
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/ForwardFixture.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/ForwardFixture.java
@@ -34,6 +34,7 @@
   static final Duration OBJECTIVE = Duration.ofMillis(200);
   static final Duration TIMEOUT = Duration.ofSeconds(2);
   static final int CONNECTIONS = 40;
+  private static final int MAXIMUM_REQUESTS = 100;
 
   /** Requests of a revoked API key must not run more than three seconds after the revocation. */
   static final TenantRules RULES =
@@ -99,6 +100,21 @@
    */
   ForwardFixture(
       FakeClock clock, String id, String zone, RouterGroup group, Consumer<ServerAttempt> onSent) {
+    this(clock, id, zone, group, MAXIMUM_REQUESTS, onSent);
+  }
+
+  /**
+   * Creates one of several routers that share a clock.
+   *
+   * @param onSent also receives each attempt that is sent
+   */
+  ForwardFixture(
+      FakeClock clock,
+      String id,
+      String zone,
+      RouterGroup group,
+      int maximumRequests,
+      Consumer<ServerAttempt> onSent) {
     this.clock = clock;
     this.onSent = onSent;
     coordinator =
@@ -107,7 +123,7 @@
                 id,
                 zone,
                 1,
-                100,
+                maximumRequests,
                 new ExtraAttemptRules(0.2, 56, Duration.ofSeconds(10)),
                 Duration.ofSeconds(5),
                 new FeedBounds(
@@ -186,6 +202,14 @@
   }
 
   ForwardHandle submit(String id, String path, Duration timeLeft) {
+    return submit(id, path, timeLeft, outcomes::add);
+  }
+
+  ForwardHandle submit(
+      String id,
+      String path,
+      Duration timeLeft,
+      Consumer<Either<QueryError, ForwardedAnswer>> sink) {
     ForwardedRequest request =
         new ForwardedRequest(
             id,
@@ -196,7 +220,7 @@
             caller,
             ImmutableList.of(),
             Payload.EMPTY);
-    return coordinator.submit(request, outcomes::add);
+    return coordinator.submit(request, sink);
   }
 
   void advance(Duration length) {
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/KeysTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/KeysTest.java
@@ -11,6 +11,8 @@
 import io.arrowarch.core.tenant.TenantLimit;
 import io.vavr.control.Either;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -196,6 +198,26 @@
     assertThat(router.outcomes.get(0).getLeft().retryAfter()).isPresent();
   }
 
+  /** Each request that waited was refused inside the refusal of the one before it. */
+  @Test
+  public void requestsThatWaitWhenTheirKeyIsRevokedAreRefusedInTheOrderOfTheirArrival() {
+    serve("s");
+    int connections = 2 * router.coordinator.connectionShare("s");
+    for (int number = 0; number < connections; number++) {
+      router.submit();
+    }
+    List<String> refused = new ArrayList<>();
+    for (String id : List.of("first", "second", "third")) {
+      router.submit(id, "/path", ForwardFixture.TIMEOUT, outcome -> refused.add(id));
+    }
+    router.tenants = ImmutableList.of(OTHER_TENANT);
+    router.route(2, true, "s");
+    router.answer(router.attempt(0));
+
+    assertThat(router.sent).hasSize(connections);
+    assertThat(refused).containsExactly("first", "second", "third");
+  }
+
   private RouterPair pair() {
     RouterPair pair = new RouterPair();
     for (ForwardFixture each : ImmutableList.of(pair.near, pair.far)) {
