Timers: those that are due at one time don't run inside one another

Cause: the event loop runs the due timers after each event, also after one inside a timer: an attempt that a timer sends may fail inside the call that sends it. Each due timer that did so ran inside the one before, and the stack grew with the number of timers that were due. Change: a call of runDue from a timer returns, and the call that runs that timer goes on with the others. Ruled out: a posted event instead of the call in the driver, which changes the order of all events. Not shown with a real server: the failure inside the call is by reading of ServerClient.

WorkQueueTest: each test has a queue of its own.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/time/TimerQueue.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/time/TimerQueue.java
@@ -14,6 +14,7 @@
           Comparator.comparingLong((Timer timer) -> timer.dueNanos)
               .thenComparingLong(timer -> timer.sequence));
   private long nextSequence;
+  private boolean running;
 
   /** Runs {@code task} at the first {@link #runDue} at or after {@code dueNanos}. */
   public Timer schedule(long dueNanos, Runnable task) {
@@ -22,13 +23,25 @@
     return timer;
   }
 
-  /** Runs all due timers in order of their due time, and in order of creation for equal ones. */
+  /**
+   * Runs all due timers in order of their due time, and in order of creation for equal ones. Does
+   * nothing when called from a timer: the call that runs that timer goes on with the others, so
+   * that the depth of the stack does not depend on how many are due.
+   */
   public void runDue(long nowNanos) {
-    while (!timers.isEmpty() && timers.peek().dueNanos <= nowNanos) {
-      Timer timer = timers.poll();
-      if (!timer.cancelled) {
-        timer.task.run();
+    if (running) {
+      return;
+    }
+    running = true;
+    try {
+      while (!timers.isEmpty() && timers.peek().dueNanos <= nowNanos) {
+        Timer timer = timers.poll();
+        if (!timer.cancelled) {
+          timer.task.run();
+        }
       }
+    } finally {
+      running = false;
     }
   }
 
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/WorkQueueTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/WorkQueueTest.java
@@ -5,6 +5,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /**
@@ -14,7 +15,12 @@
 public final class WorkQueueTest {
   private static final int MANY = 1_000_000;
 
-  private final WorkQueue work = new WorkQueue();
+  private WorkQueue work;
+
+  @BeforeMethod
+  public void create() {
+    work = new WorkQueue();
+  }
 
   /** A caller that gets its answer at once must get it before its call returns. */
   @Test
