Callers: bytes that are no request are not read as one

What servers saw (by tests on sockets): requests that a strict reader does not find in the bytes of a caller.

- `Transfer-Encoding: xchunked` (and other unknown codings) without a length: the request ran with an empty body, and its body was read as the next request.
- `gzip, chunked`, `chunked, identity`, two codings, a folded coding, chunks in HTTP/1.0: decoded as plain chunks.
- A length and chunks: the requests behind it were run, on the same connection.
- Chunk sizes with blanks and with text behind ("7 x").
- Two blanks or a tab in the request line.

Cause: the HTTP library's decoder accepts all of it. A balancer or cache before the router may read such bytes otherwise, so that one request holds another. A trailer that is no field, and a request line that ends with a bare LF, left the connection open without an answer.

Evidence: CallerBytesProperties compares what a stand-in server received with what a strict parser of its own finds (60 mutated streams, each of some 70 known disagreements in three kinds of requests).

The fix: RequestGuard reads the bytes before the decoder, as ResponseGuard does for servers. A head is given out when it is whole and well-formed. The first fault is handed on in the form in which the decoder reports faults, so that the answer 400 comes in its turn and the connection is closed; what follows is thrown away. A request with a length and chunks goes on as chunks (RFC 9112, 6.3), but is the last of its connection. Fields, lengths and chunks are read by the classes that read responses. HTTP/2 in clear text is switched off on this port: its frames would pass no reader of HTTP/1.1, and the protocol does not know it.

Ruled out: writing the 400 from the guard itself (it would overtake the answers to earlier requests of the connection).

--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/CallerServer.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/CallerServer.java
@@ -15,6 +15,7 @@
 import io.arrowarch.node.EventLoopDriver;
 import io.arrowarch.node.RequestBodyReader;
 import io.arrowarch.node.SocketAddressSetting;
+import io.arrowarch.node.http.RequestGuard;
 import io.vavr.control.Either;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -77,6 +78,7 @@
                 .setAcceptBacklog(BACKLOG)
                 .setPerMessageWebSocketCompressionSupported(false)
                 .setPerFrameWebSocketCompressionSupported(false)
+                .setHttp2ClearTextEnabled(false)
                 .setMaxHeaderSize(MAXIMUM_HEADER_BYTES)
                 .setMaxInitialLineLength(MAXIMUM_LINE_BYTES)
                 .setHandle100ContinueAutomatically(true));
@@ -117,6 +119,7 @@
   }
 
   private void onConnection(HttpConnection connection) {
+    RequestGuard.install(connection, MAXIMUM_HEADER_BYTES + MAXIMUM_LINE_BYTES);
     connections.put(connection, new CallerConnection(connection));
     connection.closeHandler(closed -> connections.remove(connection));
   }
--- /dev/null
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/http/RequestFraming.java
@@ -0,0 +1,113 @@
+package io.arrowarch.node.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * Follows the bytes of a caller from request to request. A head is given out only once it is whole
+ * and well-formed.
+ */
+final class RequestFraming {
+  private static final byte[] HEAD_END = "\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+  private static final byte[] LINE_END = "\r\n".getBytes(StandardCharsets.US_ASCII);
+
+  /** Makes the HTTP library end the connection with its answer. */
+  private static final byte[] CLOSE =
+      "Connection: close\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+
+  private final LineBytes head;
+  private Part part = Part.HEAD;
+  private BodyFraming body = BodyFraming.ofLength(0);
+  private boolean last;
+  private byte previous = '\n';
+
+  private enum Part {
+    HEAD,
+    BODY,
+    /** No request follows. */
+    ENDED
+  }
+
+  RequestFraming(int maximumHeadBytes) {
+    head = new LineBytes(maximumHeadBytes);
+  }
+
+  /** Whether the bytes that are next belong to a request whose head was given out. */
+  boolean isWithinBody() {
+    return part == Part.BODY;
+  }
+
+  /** Whether every byte that still comes is to be thrown away. */
+  boolean hasEnded() {
+    return part == Part.ENDED;
+  }
+
+  /**
+   * Takes bytes up to the end of the next piece of a request.
+   *
+   * @return the piece, which the caller owns; empty when more bytes are needed first
+   */
+  ByteBuf next(ByteBuf in) throws MalformedRequestException, TooLongHttpHeaderException {
+    if (part == Part.HEAD) {
+      return nextHead(in);
+    }
+    try {
+      ByteBuf piece = body.next(in);
+      endBodyIfWhole();
+      return piece;
+    } catch (MalformedResponseException e) {
+      throw new MalformedRequestException(e);
+    }
+  }
+
+  private ByteBuf nextHead(ByteBuf in)
+      throws MalformedRequestException, TooLongHttpHeaderException {
+    while (in.isReadable()) {
+      byte value = in.readByte();
+      if (!head.add(value)) {
+        throw new TooLongHttpHeaderException("the head is longer than " + head.length());
+      }
+      requireTextOrLineEnd(value);
+      previous = value;
+      if (value == '\n' && head.length() == LINE_END.length) {
+        // An empty line before a request (RFC 9112, 2.2).
+        head.clear();
+      } else if (value == '\n' && head.endsWith(HEAD_END)) {
+        return onWholeHead();
+      }
+    }
+    return Unpooled.EMPTY_BUFFER;
+  }
+
+  private void requireTextOrLineEnd(byte value) throws MalformedRequestException {
+    boolean valid = previous == '\r' ? value == '\n' : value == '\r' || ByteClasses.isText(value);
+    if (!valid) {
+      throw new MalformedRequestException("byte in a head", head.excerpt());
+    }
+  }
+
+  private ByteBuf onWholeHead() throws MalformedRequestException {
+    RequestHead parsed = RequestHead.parse(head.array(), head.length());
+    int ownBytes = head.length();
+    ByteBuf whole =
+        parsed.hasAmbiguousLength()
+            ? Unpooled.copiedBuffer(
+                Unpooled.wrappedBuffer(head.array(), 0, ownBytes - LINE_END.length),
+                Unpooled.wrappedBuffer(CLOSE))
+            : Unpooled.copiedBuffer(head.array(), 0, ownBytes);
+    head.clear();
+    last = parsed.isLast();
+    body = parsed.body();
+    part = Part.BODY;
+    endBodyIfWhole();
+    return whole;
+  }
+
+  private void endBodyIfWhole() {
+    if (body.hasEnded()) {
+      part = last ? Part.ENDED : Part.HEAD;
+    }
+  }
+}
--- a/arrowarch-node/src/main/java/io/arrowarch/node/http/ResponseFraming.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/http/ResponseFraming.java
@@ -19,15 +19,13 @@
   private boolean onlyHead;
   private boolean tunnel;
   private int interim;
-  private long bodyLeft;
-  private ChunkedBody chunks = new ChunkedBody();
+  private BodyFraming body = BodyFraming.ofLength(0);
 
   private enum Part {
     /** No response is awaited. */
     NONE,
     HEAD,
-    BODY_OF_LENGTH,
-    BODY_IN_CHUNKS,
+    BODY,
     BODY_UNTIL_CLOSE
   }
 
@@ -68,8 +66,7 @@
     return switch (part) {
       case NONE -> throw unrequested(in);
       case HEAD -> nextHead(in);
-      case BODY_OF_LENGTH -> nextOfLength(in);
-      case BODY_IN_CHUNKS -> nextOfChunks(in);
+      case BODY -> nextOfBody(in);
       case BODY_UNTIL_CLOSE -> in.readRetainedSlice(in.readableBytes());
     };
   }
@@ -110,14 +107,14 @@
     head.clear();
     if (onlyHead || parsed.isWithoutBody()) {
       part = Part.NONE;
-    } else if (parsed.isChunked()) {
-      part = Part.BODY_IN_CHUNKS;
-      chunks = new ChunkedBody();
     } else if (parsed.endsWithConnection()) {
       part = Part.BODY_UNTIL_CLOSE;
     } else {
-      bodyLeft = parsed.contentLength();
-      part = bodyLeft == 0 ? Part.NONE : Part.BODY_OF_LENGTH;
+      body =
+          parsed.isChunked()
+              ? BodyFraming.inChunks()
+              : BodyFraming.ofLength(parsed.contentLength());
+      part = body.hasEnded() ? Part.NONE : Part.BODY;
     }
     return whole;
   }
@@ -131,29 +128,11 @@
     return Unpooled.EMPTY_BUFFER;
   }
 
-  private ByteBuf nextOfLength(ByteBuf in) {
-    int bytes = (int) Math.min(bodyLeft, in.readableBytes());
-    bodyLeft -= bytes;
-    if (bodyLeft == 0) {
+  private ByteBuf nextOfBody(ByteBuf in) throws MalformedResponseException {
+    ByteBuf piece = body.next(in);
+    if (body.hasEnded()) {
       part = Part.NONE;
     }
-    return in.readRetainedSlice(bytes);
-  }
-
-  private ByteBuf nextOfChunks(ByteBuf in) throws MalformedResponseException {
-    int start = in.readerIndex();
-    while (in.isReadable() && !chunks.hasEnded()) {
-      int data = (int) Math.min(chunks.dataLeft(), in.readableBytes());
-      if (data > 0) {
-        in.skipBytes(data);
-        chunks.onData(data);
-      } else {
-        chunks.onFraming(in.readByte());
-      }
-    }
-    if (chunks.hasEnded()) {
-      part = Part.NONE;
-    }
-    return in.retainedSlice(start, in.readerIndex() - start);
+    return piece;
   }
 }
--- a/arrowarch-node/src/main/java/io/arrowarch/node/http/ResponseHead.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/http/ResponseHead.java
@@ -3,9 +3,7 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * The head of a response by the grammar of RFC 9112, without what the RFC lets a recipient accept:
- * folded fields, lines that end with a bare LF, repeated or listed lengths, transfer codings other
- * than {@code chunked}.
+ * The head of a response; strict as {@link HeadFields} is.
  *
  * <p>No head may hold the start of another response, not even in a value. A response that stops
  * within its head and the response that follows it look like one head to a decoder, with the status
@@ -21,23 +19,22 @@
   private static final int MINOR_VERSION_OFFSET = 7;
   private static final int STATUS_OFFSET = 9;
   private static final int STATUS_DIGITS = 3;
-  private static final int MAXIMUM_LENGTH_DIGITS = 18;
   private static final int DECIMAL = 10;
   private static final int FIRST_FINAL_STATUS = 200;
   private static final int SWITCHING_PROTOCOLS = 101;
   private static final int NO_CONTENT = 204;
   private static final int RESET_CONTENT = 205;
   private static final int NOT_MODIFIED = 304;
-  private static final long UNKNOWN = -1;
 
   private final byte[] bytes;
   private final int length;
-  private long contentLength = UNKNOWN;
-  private boolean chunked;
+  private final HeadFields fields;
 
-  private ResponseHead(byte[] bytes, int length) {
+  private ResponseHead(byte[] bytes, int length) throws MalformedResponseException {
     this.bytes = bytes;
     this.length = length;
+    this.fields = HeadFields.parse(bytes, requireStatusLine(), length);
+    requireConsistentLength();
   }
 
   /**
@@ -46,9 +43,7 @@
    * @param length of the head in the array, with the empty line that ends it
    */
   static ResponseHead parse(byte[] bytes, int length) throws MalformedResponseException {
-    ResponseHead head = new ResponseHead(bytes, length);
-    head.parse();
-    return head;
+    return new ResponseHead(bytes, length);
   }
 
   /** Whether another response follows that is the final one. */
@@ -58,7 +53,7 @@
 
   /** Whether the body ends with a last chunk. */
   boolean isChunked() {
-    return chunked;
+    return fields.isChunked();
   }
 
   /** Whether the status allows no body whatever the fields say. */
@@ -68,12 +63,12 @@
 
   /** Whether the body ends with its connection. */
   boolean endsWithConnection() {
-    return !chunked && contentLength == UNKNOWN;
+    return !fields.isChunked() && !fields.hasContentLength();
   }
 
   /** Bytes of the body, where the head tells. */
   long contentLength() {
-    return contentLength;
+    return fields.contentLength();
   }
 
   int status() {
@@ -84,19 +79,17 @@
     return status;
   }
 
-  private void parse() throws MalformedResponseException {
+  /** Returns where the first field starts. */
+  private int requireStatusLine() throws MalformedResponseException {
     if (!isStatusLineAt(0)) {
       throw malformed(ResponseFault.STATUS_LINE);
     }
-    int lineStart = requireTextUntilLineEnd(STATUS_LINE_START_BYTES - 1, ResponseFault.STATUS_LINE);
-    requireNoStatusLineAfter(1);
-    while (bytes[lineStart] != '\r') {
-      lineStart = field(lineStart);
-    }
-    if (lineStart + 2 != length) {
-      throw malformed(ResponseFault.FIELD);
+    int end = HeadFields.textEnd(bytes, STATUS_LINE_START_BYTES - 1);
+    if (bytes[end] != '\r' || bytes[end + 1] != '\n') {
+      throw malformed(ResponseFault.STATUS_LINE);
     }
-    requireConsistentLength();
+    requireNoStatusLineAfter(1);
+    return end + 2;
   }
 
   /** Whether a status line begins here, up to the byte after its status. */
@@ -128,61 +121,11 @@
     }
   }
 
-  /** Reads a field; returns where the next line starts. */
-  private int field(int start) throws MalformedResponseException {
-    int colon = start;
-    while (ByteClasses.isToken(bytes[colon])) {
-      colon++;
-    }
-    if (colon == start || bytes[colon] != ':') {
-      throw malformed(ResponseFault.FIELD);
-    }
-    int next = requireTextUntilLineEnd(colon + 1, ResponseFault.FIELD);
-    if (isNamed(start, colon, "content-length")) {
-      readContentLength(colon + 1, next - 2);
-    } else if (isNamed(start, colon, "transfer-encoding")) {
-      readTransferEncoding(colon + 1, next - 2);
-    }
-    return next;
-  }
-
-  /** Returns where the next line starts. */
-  private int requireTextUntilLineEnd(int from, ResponseFault fault)
-      throws MalformedResponseException {
-    int end = from;
-    while (ByteClasses.isText(bytes[end])) {
-      end++;
-    }
-    if (bytes[end] != '\r' || bytes[end + 1] != '\n') {
-      throw malformed(fault);
-    }
-    return end + 2;
-  }
-
-  private boolean isNamed(int start, int end, String name) {
-    return end - start == name.length() && text(start, end).equalsIgnoreCase(name);
-  }
-
-  private void readContentLength(int from, int to) throws MalformedResponseException {
-    String value = value(from, to);
-    boolean digits = !value.isEmpty() && value.chars().allMatch(c -> c >= '0' && c <= '9');
-    if (contentLength != UNKNOWN || !digits || value.length() > MAXIMUM_LENGTH_DIGITS) {
-      throw malformed(ResponseFault.BODY_LENGTH);
-    }
-    contentLength = Long.parseLong(value);
-  }
-
-  private void readTransferEncoding(int from, int to) throws MalformedResponseException {
-    if (chunked || !value(from, to).equalsIgnoreCase("chunked")) {
-      throw malformed(ResponseFault.BODY_LENGTH);
-    }
-    chunked = true;
-  }
-
   private void requireConsistentLength() throws MalformedResponseException {
-    boolean both = chunked && contentLength != UNKNOWN;
-    boolean chunkedBeforeChunks = chunked && bytes[MINOR_VERSION_OFFSET] == '0';
-    boolean bodyOfReset = status() == RESET_CONTENT && (chunked || contentLength > 0);
+    boolean both = fields.isChunked() && fields.hasContentLength();
+    boolean chunkedBeforeChunks = fields.isChunked() && bytes[MINOR_VERSION_OFFSET] == '0';
+    boolean bodyOfReset =
+        status() == RESET_CONTENT && (fields.isChunked() || fields.contentLength() > 0);
     if (both || chunkedBeforeChunks || bodyOfReset) {
       throw malformed(ResponseFault.BODY_LENGTH);
     }
@@ -191,23 +134,6 @@
     }
   }
 
-  /** A value without the blanks around it. */
-  private String value(int from, int to) {
-    int start = from;
-    int end = to;
-    while (start < end && ByteClasses.isBlank(bytes[start])) {
-      start++;
-    }
-    while (end > start && ByteClasses.isBlank(bytes[end - 1])) {
-      end--;
-    }
-    return text(start, end);
-  }
-
-  private String text(int start, int end) {
-    return new String(bytes, start, end - start, StandardCharsets.ISO_8859_1);
-  }
-
   private MalformedResponseException malformed(ResponseFault fault) {
     return new MalformedResponseException(fault, Excerpt.of(bytes, length));
   }
