--- a/arrowarch-node/src/main/java/io/arrowarch/node/http/GuardedClients.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/http/GuardedClients.java
@@ -22,7 +22,7 @@
       Function<String, ResponseListener> listeners) {
     return vertx
         .httpClientBuilder()
-        .with(options)
+        .with(ResponseGuards.allowHeads(options))
         .with(pool)
         .withConnectHandler(
             connection ->
--- a/arrowarch-node/src/main/java/io/arrowarch/node/http/ResponseHead.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/http/ResponseHead.java
@@ -3,9 +3,7 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * The head of a response by the grammar of RFC 9112, without what the RFC lets a recipient accept:
- * folded fields, lines that end with a bare LF, repeated or listed lengths, transfer codings other
- * than {@code chunked}.
+ * The head of a response; strict as {@link HeadFields} is.
  *
  * <p>No head may hold the start of another response, not even in a value. A response that stops
  * within its head and the response that follows it look like one head to a decoder, with the status
@@ -22,20 +20,17 @@
   private static final int STATUS_OFFSET = 9;
   private static final int STATUS_DIGITS = 3;
   private static final int LINE_END_BYTES = 2;
-  private static final int MAXIMUM_LENGTH_DIGITS = 18;
   private static final int DECIMAL = 10;
   private static final int FIRST_FINAL_STATUS = 200;
   private static final int SWITCHING_PROTOCOLS = 101;
   private static final int NO_CONTENT = 204;
   private static final int NOT_MODIFIED = 304;
-  private static final long UNKNOWN = -1;
 
   private final LineBytes head;
+  private final HeadFields fields = new HeadFields();
   private byte[] bytes;
   private int length;
   private int lineStart;
-  private long contentLength = UNKNOWN;
-  private boolean chunked;
 
   /** Creates a head that is read line by line from what is collected. */
   ResponseHead(LineBytes head) {
@@ -68,7 +63,7 @@
       return true;
     } else {
       requireNoStatusLineFrom(lineStart);
-      readField(lineStart);
+      fields.readLine(bytes, lineStart, length);
     }
     lineStart = length;
     return false;
@@ -85,7 +80,7 @@
 
   /** Whether the body ends with a last chunk. */
   boolean isChunked() {
-    return chunked;
+    return fields.isChunked();
   }
 
   /** Whether the status allows no body whatever the fields say. */
@@ -95,12 +90,12 @@
 
   /** Whether the body ends with its connection. */
   boolean endsWithConnection() {
-    return !chunked && contentLength == UNKNOWN;
+    return !fields.isChunked() && !fields.hasContentLength();
   }
 
   /** Bytes of the body, where the head tells. */
   long contentLength() {
-    return contentLength;
+    return fields.contentLength();
   }
 
   int status() {
@@ -116,7 +111,10 @@
       throw malformed(ResponseFault.STATUS_LINE);
     }
     requireNoStatusLineFrom(1);
-    requireText(STATUS_LINE_START_BYTES - 1, ResponseFault.STATUS_LINE);
+    int end = HeadFields.textEnd(bytes, STATUS_LINE_START_BYTES - 1);
+    if (bytes[end] != '\r' || end + LINE_END_BYTES != length) {
+      throw malformed(ResponseFault.STATUS_LINE);
+    }
   }
 
   /** Whether a status line begins here, up to the byte after its status. */
@@ -148,56 +146,9 @@
     }
   }
 
-  private void readField(int start) throws MalformedResponseException {
-    int colon = start;
-    while (ByteClasses.isToken(bytes[colon])) {
-      colon++;
-    }
-    if (colon == start || bytes[colon] != ':') {
-      throw malformed(ResponseFault.FIELD);
-    }
-    requireText(colon + 1, ResponseFault.FIELD);
-    if (isNamed(start, colon, "content-length")) {
-      readContentLength(colon + 1, length - LINE_END_BYTES);
-    } else if (isNamed(start, colon, "transfer-encoding")) {
-      readTransferEncoding(colon + 1, length - LINE_END_BYTES);
-    }
-  }
-
-  /** Requires text up to CR LF, which ends the line. */
-  private void requireText(int from, ResponseFault fault) throws MalformedResponseException {
-    int end = from;
-    while (ByteClasses.isText(bytes[end])) {
-      end++;
-    }
-    if (bytes[end] != '\r' || end + LINE_END_BYTES != length) {
-      throw malformed(fault);
-    }
-  }
-
-  private boolean isNamed(int start, int end, String name) {
-    return end - start == name.length() && text(start, end).equalsIgnoreCase(name);
-  }
-
-  private void readContentLength(int from, int to) throws MalformedResponseException {
-    String value = value(from, to);
-    boolean digits = !value.isEmpty() && value.chars().allMatch(c -> c >= '0' && c <= '9');
-    if (contentLength != UNKNOWN || !digits || value.length() > MAXIMUM_LENGTH_DIGITS) {
-      throw malformed(ResponseFault.BODY_LENGTH);
-    }
-    contentLength = Long.parseLong(value);
-  }
-
-  private void readTransferEncoding(int from, int to) throws MalformedResponseException {
-    if (chunked || !value(from, to).equalsIgnoreCase("chunked")) {
-      throw malformed(ResponseFault.BODY_LENGTH);
-    }
-    chunked = true;
-  }
-
   private void requireConsistentLength() throws MalformedResponseException {
-    boolean both = chunked && contentLength != UNKNOWN;
-    boolean chunkedBeforeChunks = chunked && bytes[MINOR_VERSION_OFFSET] == '0';
+    boolean both = fields.isChunked() && fields.hasContentLength();
+    boolean chunkedBeforeChunks = fields.isChunked() && bytes[MINOR_VERSION_OFFSET] == '0';
     if (both || chunkedBeforeChunks) {
       throw malformed(ResponseFault.BODY_LENGTH);
     }
@@ -206,23 +157,6 @@
     }
   }
 
-  /** A value without the blanks around it. */
-  private String value(int from, int to) {
-    int start = from;
-    int end = to;
-    while (start < end && ByteClasses.isBlank(bytes[start])) {
-      start++;
-    }
-    while (end > start && ByteClasses.isBlank(bytes[end - 1])) {
-      end--;
-    }
-    return text(start, end);
-  }
-
-  private String text(int start, int end) {
-    return new String(bytes, start, end - start, StandardCharsets.ISO_8859_1);
-  }
-
   private MalformedResponseException malformed(ResponseFault fault) {
     return new MalformedResponseException(fault, Excerpt.of(bytes, length));
   }
