Chunks: a size past 32 bits is refused, since the decoder cuts it

What servers saw (by a test on sockets): a caller's chunk of 0x100000007 bytes was taken for one of 7, and bytes that belong to the chunk were read as further chunks and as the next request.

Cause: ChunkedBody counted sizes in 64 bits, the HTTP library's decoder behind it in 32, so that the two disagreed about where the body ends.

Why it works: what both count in the same way passes, anything greater is malformed. ResponseFraming uses the same class for answers of servers.

Ruled out: fewer digits as the bound; leading zeros are allowed.

--- a/arrowarch-node/src/main/java/io/arrowarch/node/http/ChunkedBody.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/http/ChunkedBody.java
@@ -10,6 +10,9 @@
   private static final int MAXIMUM_LINE_BYTES = 256;
   private static final int MAXIMUM_TRAILER_BYTES = 8 << 10;
   private static final int MAXIMUM_SIZE_DIGITS = 15;
+
+  /** The HTTP library keeps sizes in 32 bits and takes a greater one for another. */
+  private static final long MAXIMUM_SIZE = Integer.MAX_VALUE;
   private static final int HEXADECIMAL = 16;
   private static final byte[] LINE_END = "\r\n".getBytes(StandardCharsets.US_ASCII);
 
@@ -87,7 +90,8 @@
     }
     byte after = line.array()[digits];
     boolean endsLine = after == '\r' && digits + LINE_END.length == line.length();
-    if (digits == 0 || digits > MAXIMUM_SIZE_DIGITS || (!endsLine && after != ';')) {
+    boolean readable = digits > 0 && digits <= MAXIMUM_SIZE_DIGITS && size <= MAXIMUM_SIZE;
+    if (!readable || (!endsLine && after != ';')) {
       throw malformed();
     }
     requireSingleLineEnd();
