Servers: a connection that ends with its answer is not given to a waiting request

Cause: an answer without a length is whole when its connection ends, which is told before the connection's close is. The connection was given back as usable, and a waiting request was written on it. Ruled out: the close handler runs late by chance; the order is always this one. Change: a connection is marked as soon as a head says that its body ends with it. Evidence: AnswerEndedByCloseTest, red before, green now; its 503 are refusals above 100 requests in progress, the fixture's limit.

--- a/arrowarch-node/src/main/java/io/arrowarch/node/http/ResponseFraming.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/http/ResponseFraming.java
@@ -54,6 +54,11 @@
     return part == Part.NONE;
   }
 
+  /** Whether the response that is being read ends with its connection. */
+  boolean endsWithConnection() {
+    return part == Part.BODY_UNTIL_CLOSE;
+  }
+
   /** Whether the status line, but not the whole of a head, has come. */
   boolean isWithinHead() {
     return part == Part.HEAD && parsed.hasStatusLine();
--- a/arrowarch-node/src/main/java/io/arrowarch/node/http/ResponseGuard.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/http/ResponseGuard.java
@@ -89,6 +89,10 @@
             new MalformedResponseException(ResponseFault.SURPLUS, ResponseFraming.excerpt(in)),
             in.readableBytes());
       } else if (piece.isReadable()) {
+        if (framing.endsWithConnection()) {
+          // What ends with the connection is told before the connection's end is.
+          listener.onUnusable();
+        }
         context.fireChannelRead(piece);
       }
     } catch (MalformedResponseException e) {
