Store: tests of answers cut off by the end of their connection

An answer of the store cut by FIN at any byte (with a length, in chunks, or ended by its connection) and a compressed listing cut at any byte are no answers; both were so before.

--- a/arrowarch-node/src/test/java/io/arrowarch/node/SurplusAnswerStandIn.java
+++ b/arrowarch-node/src/test/java/io/arrowarch/node/SurplusAnswerStandIn.java
@@ -59,6 +59,15 @@
     return answer + "Content-Length: " + body.length() + HEAD_END + body;
   }
 
+  /** A success of these fields with its body in one chunk. */
+  public static String inChunks(List<String> fields, String body) {
+    StringBuilder answer = new StringBuilder("HTTP/1.1 200 OK\r\n");
+    fields.forEach(field -> answer.append(field).append("\r\n"));
+    answer.append("Transfer-Encoding: chunked").append(HEAD_END);
+    answer.append(Integer.toHexString(body.length())).append("\r\n").append(body);
+    return answer.append("\r\n0").append(HEAD_END).toString();
+  }
+
   /** Closes all connections, and serves the next two requests by this exchange. */
   public synchronized void begin(Exchange begun) {
     open.forEach(NetSocket::close);
