--- a/arrowarch-node/src/main/java/io/arrowarch/node/http/ResponseHead.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/http/ResponseHead.java
@@ -24,6 +24,7 @@
   private static final int FIRST_FINAL_STATUS = 200;
   private static final int SWITCHING_PROTOCOLS = 101;
   private static final int NO_CONTENT = 204;
+  private static final int RESET_CONTENT = 205;
   private static final int NOT_MODIFIED = 304;
 
   private final LineBytes head;
@@ -149,7 +150,10 @@
   private void requireConsistentLength() throws MalformedResponseException {
     boolean both = fields.isChunked() && fields.hasContentLength();
     boolean chunkedBeforeChunks = fields.isChunked() && bytes[MINOR_VERSION_OFFSET] == '0';
-    if (both || chunkedBeforeChunks) {
+    // Decoders differ on the body of one, which a sender must not give (RFC 9110, 15.3.6).
+    boolean bodyOfReset =
+        status() == RESET_CONTENT && (fields.isChunked() || fields.contentLength() > 0);
+    if (both || chunkedBeforeChunks || bodyOfReset) {
       throw malformed(ResponseFault.BODY_LENGTH);
     }
     if (status() == SWITCHING_PROTOCOLS) {
