Peers and the JSON interface: responses are read strictly on these connections too

What callers saw: nothing that was recorded; the same class of fault as on connections to servers. Cause: the clients of messages between routers, of the platform of the JSON interface and of its back ends decoded what came on a kept connection, whoever it was for. Ruled out as harm today, by reading: replies of back ends carry the attempt's id in their body, the platform's documents must be whole JSON, and the answer to a peer message is not read. Change: their connections are guarded as the others; there is no event log in these classes, so that malformed responses are written to the process's log.

--- a/arrowarch-node/src/main/java/io/arrowarch/node/BackendClient.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/BackendClient.java
@@ -9,6 +9,8 @@
 import io.arrowarch.core.wire.BackendReply;
 import io.arrowarch.core.wire.BackendReport;
 import io.arrowarch.core.wire.WireCodec;
+import io.arrowarch.node.http.GuardedClients;
+import io.arrowarch.node.http.LoggedResponses;
 import io.vavr.control.Try;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -176,13 +178,15 @@
   }
 
   private static HttpClient createClient(Vertx vertx, int connectionsPerBackend) {
-    return vertx.createHttpClient(
+    return GuardedClients.create(
+        vertx,
         new HttpClientOptions()
             .setKeepAlive(true)
             .setPipelining(false)
             .setTcpNoDelay(true)
             .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
             .setKeepAliveTimeout((int) IDLE_TIMEOUT.toSeconds()),
-        new PoolOptions().setHttp1MaxSize(connectionsPerBackend));
+        new PoolOptions().setHttp1MaxSize(connectionsPerBackend),
+        LoggedResponses::of);
   }
 }
--- a/arrowarch-node/src/main/java/io/arrowarch/node/PeerEndpoint.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/PeerEndpoint.java
@@ -4,6 +4,8 @@
 import com.google.common.flogger.FluentLogger;
 import io.arrowarch.core.peer.PeerMessage;
 import io.arrowarch.core.peer.PeerTransport;
+import io.arrowarch.node.http.GuardedClients;
+import io.arrowarch.node.http.LoggedResponses;
 import io.vertx.core.Future;
 import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
@@ -69,9 +71,11 @@
     this.receiver = receiver;
     this.services = services;
     this.client =
-        vertx.createHttpClient(
+        GuardedClients.create(
+            vertx,
             new HttpClientOptions().setConnectTimeout((int) HTTP_TIMEOUT.toMillis()),
-            new PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_PEER));
+            new PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_PEER),
+            LoggedResponses::of);
   }
 
   /** Binds TCP and UDP to one port number and returns the address. */
--- a/arrowarch-node/src/main/java/io/arrowarch/node/PlatformClient.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/PlatformClient.java
@@ -5,6 +5,8 @@
 import io.arrowarch.core.router.PlatformTransport;
 import io.arrowarch.core.wire.MachineList;
 import io.arrowarch.core.wire.WireCodec;
+import io.arrowarch.node.http.GuardedClients;
+import io.arrowarch.node.http.LoggedResponses;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -35,9 +37,11 @@
     this.driver = driver;
     this.platform = platform;
     this.client =
-        vertx.createHttpClient(
+        GuardedClients.create(
+            vertx,
             new HttpClientOptions().setConnectTimeout((int) TIMEOUT.toMillis()),
-            new PoolOptions().setHttp1MaxSize(1));
+            new PoolOptions().setHttp1MaxSize(1),
+            LoggedResponses::of);
   }
 
   @Override
