Responses: a 205 without a length ends with its connection

What callers saw: nothing known; an answer 205 without a length would have stayed without an end until its deadline, and one with bytes behind its head was lost. Cause: the reader took a 205 as ended with its head, the library's decoder waits for the end of the connection, as RFC 9112 (6.3) has it; only 1xx, 204 and 304 have no body whatever the fields say. Why it works: both now take bytes until the close. A 205 with a length above 0 or in chunks is refused as before.

--- a/arrowarch-node/src/main/java/io/arrowarch/node/http/ResponseHead.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/http/ResponseHead.java
@@ -63,7 +63,7 @@
 
   /** Whether the status allows no body whatever the fields say. */
   boolean isWithoutBody() {
-    return status() == NO_CONTENT || status() == NOT_MODIFIED || status() == RESET_CONTENT;
+    return status() == NO_CONTENT || status() == NOT_MODIFIED;
   }
 
   /** Whether the body ends with its connection. */
--- a/arrowarch-node/src/test/java/io/arrowarch/node/http/ReferenceParser.java
+++ b/arrowarch-node/src/test/java/io/arrowarch/node/http/ReferenceParser.java
@@ -97,7 +97,7 @@
   }
 
   private boolean isWithoutBody(int status) {
-    return method.equals("HEAD") || status == 204 || status == 304 || status == 205;
+    return method.equals("HEAD") || status == 204 || status == 304;
   }
 
   private static String stripped(String value) {
--- a/arrowarch-node/src/test/java/io/arrowarch/node/http/ResponseRulesTest.java
+++ b/arrowarch-node/src/test/java/io/arrowarch/node/http/ResponseRulesTest.java
@@ -167,6 +167,18 @@
     assertThat(channel.hasEnded()).isTrue();
   }
 
+  /** The reader and the decoder disagree on where a 205 without a length ends. */
+  @Test
+  public void resetContentWithoutLengthEndsWithItsConnection() {
+    GuardedChannel channel = new GuardedChannel();
+    channel.request("GET");
+    channel.receive("HTTP/1.1 205 Reset Content\r\n\r\nab");
+    channel.endByPeer();
+
+    assertThat(channel.fault()).isEmpty();
+    assertThat(channel.whole()).singleElement().matches(whole -> whole.body().equals("ab"));
+  }
+
   /** A peer speaks before it is asked. */
   @Test
   public void bytesBeforeTheFirstRequestCloseTheConnection() {
