Work queue: failures behind the first one are kept as suppressed

Cause: of several tasks that threw in one event, only the first throwable was passed on; no error is to be swallowed. Eight are kept, since traces of thousands may not fit the heap.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/WorkQueue.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/WorkQueue.java
@@ -15,6 +15,9 @@
  * <p>A task that throws does not keep later ones from running. Not thread-safe.
  */
 final class WorkQueue {
+  /** The traces of thousands of failed tasks may not fit the heap. */
+  private static final int MAXIMUM_THROWN = 8;
+
   private final Queue<Runnable> tasks = new ArrayDeque<>();
   private boolean running;
 
@@ -22,7 +25,8 @@
    * Runs a task, and all tasks that it submits, before it returns; or, when called from a task,
    * returns at once and runs the task later.
    *
-   * @throws RuntimeException or an {@link Error}: the first one that a task has thrown
+   * @throws RuntimeException or an {@link Error}: the first one that a task has thrown, with some
+   *     of the others suppressed
    */
   void execute(Runnable task) {
     tasks.add(task);
@@ -32,19 +36,22 @@
   }
 
   private void runAll() {
-    // One throwable is kept, since the traces of thousands of failed tasks may not fit the heap.
-    List<Throwable> thrown = new ArrayList<>(1);
+    List<Throwable> thrown = new ArrayList<>();
     running = true;
     while (!tasks.isEmpty()) {
       try {
         tasks.remove().run();
       } catch (RuntimeException | Error e) {
-        if (thrown.isEmpty()) {
+        if (thrown.size() < MAXIMUM_THROWN && !thrown.contains(e)) {
           thrown.add(e);
         }
       }
     }
     running = false;
-    thrown.forEach(Throwables::throwIfUnchecked);
+    if (!thrown.isEmpty()) {
+      Throwable first = thrown.get(0);
+      thrown.stream().skip(1).forEach(first::addSuppressed);
+      Throwables.throwIfUnchecked(first);
+    }
   }
 }
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/WorkQueueTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/WorkQueueTest.java
@@ -75,7 +75,12 @@
                       throw new StackOverflowError("first failure");
                     }))
         .isInstanceOf(StackOverflowError.class)
-        .hasMessage("first failure");
+        .hasMessage("first failure")
+        .satisfies(
+            thrown ->
+                assertThat(thrown.getSuppressed())
+                    .extracting(Throwable::getMessage)
+                    .containsExactly("second failure"));
     work.execute(() -> log.add("later"));
 
     assertThat(log).containsExactly("behind", "later");
