Log: how long a request lay unread, and long turns of the event loop

The event loop driver now knows when its loop polls the sockets: what it handles arrived after the poll before. That bounds how long a request lay in its socket. The request line states it as unreadMs; a turn of 150 ms or more gets a long-turn line; arrowarch_loop_turn_seconds is a histogram of turns. It costs one poll that does not block after each turn that handled something.

No decision uses it yet.

--- a/arrowarch-cli/src/test/java/io/arrowarch/cli/EventLogTest.java
+++ b/arrowarch-cli/src/test/java/io/arrowarch/cli/EventLogTest.java
@@ -116,7 +116,7 @@
 
   private static RouterEvent request(String id, String outcome, String error) {
     return new RouterEvent.RequestEnded(
-        id, "", "route", 1, outcome, error, "reason", 1, 1, 1, 0, 1.0, 1.0, -1.0, List.of());
+        id, "", "route", 1, outcome, error, "reason", 1, 1, 1, 0, 1.0, 1.0, -1.0, 0.0, List.of());
   }
 
   private static List<String> lines(ByteArrayOutputStream out, String part) {
--- a/arrowarch-core/src/main/java/io/arrowarch/core/event/RouterEvent.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/event/RouterEvent.java
@@ -40,6 +40,7 @@
    * @param partsIn parts that were answered
    * @param viewAgeMs age of the view of the store by which it was refused; -1 where it was not
    *     refused before it ran, or the view was never complete
+   * @param unreadMs upper bound of the time for which it waited in its socket before it was read
    * @param missing parts that are not in the answer, with the attempts made for them
    */
   record RequestEnded(
@@ -57,6 +58,7 @@
       double elapsedMs,
       double leftMs,
       double viewAgeMs,
+      double unreadMs,
       List<MissingPart> missing)
       implements RouterEvent {
     /** Copies the list. */
@@ -91,6 +93,7 @@
           .number("elapsedMs", elapsedMs)
           .number("leftMs", leftMs)
           .number("viewAgeMs", viewAgeMs)
+          .number("unreadMs", unreadMs)
           .objects("missing", missing, MissingPart::writeTo);
     }
   }
@@ -517,4 +520,28 @@
       fields.text("state", state).text("reason", reason).number("upMs", upMs);
     }
   }
+
+  /**
+   * A turn of the event loop was long: what arrived meanwhile waited.
+   *
+   * @param tookMs from one poll of the sockets to the next
+   * @param events number of events that were handled
+   * @param longestMs the longest of them
+   */
+  record LongTurn(double tookMs, int events, double longestMs, int inProgress)
+      implements RouterEvent {
+    @Override
+    public String eventName() {
+      return "long-turn";
+    }
+
+    @Override
+    public void writeTo(EventFields fields) {
+      fields
+          .number("tookMs", tookMs)
+          .whole("events", events)
+          .number("longestMs", longestMs)
+          .whole("inProgress", inProgress);
+    }
+  }
 }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/DelegatedSearch.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/DelegatedSearch.java
@@ -40,6 +40,12 @@
     return parts.services();
   }
 
+  /** Returns a copy with the longest time for which it may have waited in its socket. */
+  public DelegatedSearch withUnread(Duration longest) {
+    return new DelegatedSearch(
+        request.withUnread(longest), version, parts, timeLeft, objectiveLeft, isProven);
+  }
+
   /** The route restricted to these parts. */
   Route narrow(Route route) {
     return route.withTarget(parts);
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/Refusals.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/Refusals.java
@@ -80,6 +80,7 @@
             0,
             0,
             viewAgeMillis(),
+            request.unread().toNanos() / NANOS_PER_MILLI,
             List.of()));
     QueryError error = QueryError.of(kind, detail);
     sink.accept(
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/RequestLog.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/RequestLog.java
@@ -90,6 +90,7 @@
             elapsedMillis(nowNanos),
             leftMillis(nowNanos),
             NOT_REFUSED,
+            request.unread().toNanos() / NANOS_PER_MILLI,
             tally.describeMissing(nowNanos)));
   }
 
--- a/arrowarch-node/src/main/java/io/arrowarch/node/EventLoopDriver.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/EventLoopDriver.java
@@ -1,8 +1,10 @@
 package io.arrowarch.node;
 
 import com.google.common.flogger.FluentLogger;
+import io.arrowarch.core.intake.ArrivalTimes;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
+import java.time.Duration;
 import java.util.OptionalLong;
 import java.util.function.Supplier;
 
@@ -18,6 +20,11 @@
   private final Context context;
   private final Runnable runTimers;
   private final Supplier<OptionalLong> nextTimerNanos;
+  private final LoopTurns turns;
+  private final SocketPolls polls;
+  private final ArrivalTimes arrivals = new ArrivalTimes();
+  private int eventsInTurn;
+  private long longestEventNanos;
   private long vertxTimer = NO_TIMER;
   private long armedForNanos;
 
@@ -29,10 +36,28 @@
    */
   public EventLoopDriver(
       Vertx vertx, Context context, Runnable runTimers, Supplier<OptionalLong> nextTimerNanos) {
+    this(vertx, context, runTimers, nextTimerNanos, LoopTurns.NONE);
+  }
+
+  /**
+   * Creates a driver.
+   *
+   * @param runTimers runs the timers that are due
+   * @param nextTimerNanos when the next one is due, on {@link System#nanoTime}
+   * @param turns told how long the turns of the loop are
+   */
+  public EventLoopDriver(
+      Vertx vertx,
+      Context context,
+      Runnable runTimers,
+      Supplier<OptionalLong> nextTimerNanos,
+      LoopTurns turns) {
     this.vertx = vertx;
     this.context = context;
     this.runTimers = runTimers;
     this.nextTimerNanos = nextTimerNanos;
+    this.turns = turns;
+    this.polls = new SocketPolls(context);
   }
 
   /** Runs a task, now when on the event loop, else soon. */
@@ -44,7 +69,48 @@
     }
   }
 
+  /**
+   * Upper bound of the time for which a request that is read now has waited in its socket. To be
+   * called on the event loop.
+   *
+   * @param onNewConnection whether it is the first request of its connection
+   */
+  public Duration longestWaitUnread(boolean onNewConnection) {
+    long nowNanos = System.nanoTime();
+    Duration wait =
+        onNewConnection
+            ? arrivals.longestWaitOnNewConnection(nowNanos)
+            : arrivals.longestWait(nowNanos);
+    onEvent(nowNanos);
+    return wait;
+  }
+
+  private void onEvent(long nowNanos) {
+    if (arrivals.onEvent(nowNanos)) {
+      awaitPoll();
+    }
+  }
+
+  private void awaitPoll() {
+    polls.aroundNext(this::onPoll, this::onPolled);
+  }
+
+  private void onPoll() {
+    Duration turn = arrivals.onPoll(System.nanoTime());
+    turns.onTurn(turn, eventsInTurn, Duration.ofNanos(longestEventNanos));
+    eventsInTurn = 0;
+    longestEventNanos = 0;
+  }
+
+  private void onPolled() {
+    if (arrivals.onPolled()) {
+      awaitPoll();
+    }
+  }
+
   private void runAndArm(Runnable task) {
+    long startNanos = System.nanoTime();
+    onEvent(startNanos);
     try {
       task.run();
       runTimers.run();
@@ -53,6 +119,8 @@
       Log.logger.atSevere().withCause(e).log("Core: an event failed.");
     } finally {
       arm();
+      eventsInTurn++;
+      longestEventNanos = Math.max(longestEventNanos, System.nanoTime() - startNanos);
     }
   }
 
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/CallerServer.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/CallerServer.java
@@ -134,10 +134,10 @@
 
   private void onRequest(HttpServerRequest request) {
     CallerConnection connection = connections.get(request.connection());
-    Exchange exchange = new Exchange(request, connection);
     if (connection != null) {
       connection.onRequest();
     }
+    Exchange exchange = new Exchange(request, connection);
     new RequestBodyReader(vertx, limits().maximumBodyBytes())
         .read(
             request,
@@ -151,6 +151,7 @@
     private final HttpServerResponse response;
     private final CallerConnection connection;
     private final long startNanos = System.nanoTime();
+    private final Duration unread;
     private ForwardHandle handle = () -> {};
     private boolean answered;
 
@@ -158,6 +159,11 @@
       this.request = request;
       this.response = request.response();
       this.connection = connection;
+      this.unread = driver.longestWaitUnread(isOnNewConnection());
+    }
+
+    private boolean isOnNewConnection() {
+      return connection != null && connection.isOnFirstRequest();
     }
 
     void submit(Buffer body) {
@@ -179,8 +185,8 @@
     }
 
     private ForwardedRequest ofConnection(ForwardedRequest decoded) {
-      boolean first = connection != null && connection.isOnFirstRequest();
-      return first ? decoded.onNewConnection() : decoded;
+      ForwardedRequest read = decoded.withUnread(unread);
+      return isOnNewConnection() ? read.onNewConnection() : read;
     }
 
     /** The rest of the body may be on its way, so the connection cannot be used again. */
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/DelegateServer.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/DelegateServer.java
@@ -59,10 +59,11 @@
 
     void submit(DelegatedSearch search) {
       inProgress++;
+      DelegatedSearch received = search.withUnread(driver.longestWaitUnread(false));
       driver.run(
           () -> {
             response.closeHandler(closed -> onClosed());
-            handle = router.get().submitDelegated(search, this::reply);
+            handle = router.get().submitDelegated(received, this::reply);
           });
     }
 
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardMetrics.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardMetrics.java
@@ -8,6 +8,7 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.vavr.control.Either;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -21,7 +22,21 @@
 public final class ForwardMetrics {
   private static final int EARLY_VALUES = 2_000;
 
+  /** Shorter turns of the event loop are not recorded: there are many, and none matters. */
+  private static final Duration SHORTEST_RECORDED_TURN = Duration.ofMillis(10);
+
+  private static final Duration[] TURN_BUCKETS = {
+    Duration.ofMillis(20),
+    Duration.ofMillis(50),
+    Duration.ofMillis(100),
+    Duration.ofMillis(250),
+    Duration.ofMillis(500),
+    Duration.ofSeconds(1),
+    Duration.ofSeconds(2)
+  };
+
   private final Map<String, Timer> timers = new HashMap<>();
+  private Optional<Timer> turns = Optional.empty();
   private final List<Consumer<PrometheusMeterRegistry>> early = new ArrayList<>();
   private Optional<PrometheusMeterRegistry> registry = Optional.empty();
 
@@ -46,6 +61,23 @@
                 .record(nanos, TimeUnit.NANOSECONDS));
   }
 
+  /** Takes the length of a turn of the event loop. */
+  void onTurn(Duration turn) {
+    if (turn.compareTo(SHORTEST_RECORDED_TURN) >= 0) {
+      take(
+          meters -> {
+            if (turns.isEmpty()) {
+              turns =
+                  Optional.of(
+                      Timer.builder("arrowarch.loop.turn")
+                          .serviceLevelObjectives(TURN_BUCKETS)
+                          .register(meters));
+            }
+            turns.get().record(turn);
+          });
+    }
+  }
+
   <T> void gauge(String name, T source, ToDoubleFunction<T> value) {
     take(meters -> Gauge.builder(name, source, value).register(meters));
   }
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
@@ -53,6 +53,9 @@
   /** Routers that have started together know nearly all others after this. */
   private static final Duration TIME_TO_KNOW_FLEET = Duration.ofMillis(2_500);
 
+  /** Turns of the event loop from this length on are logged: a caller notices the delay. */
+  private static final Duration LONG_TURN = Duration.ofMillis(150);
+
   private static final double NANOS_PER_MILLI = 1e6;
 
   private ForwardNodeSettings settings;
@@ -117,7 +120,11 @@
     SystemClock clock = new SystemClock();
     driver =
         new EventLoopDriver(
-            vertx, context, () -> timers.runDue(System.nanoTime()), timers::nextDueNanos);
+            vertx,
+            context,
+            () -> timers.runDue(System.nanoTime()),
+            timers::nextDueNanos,
+            this::onTurn);
     MalformedResponses malformed = new MalformedResponses(events);
     ServerConnections connections = new ServerConnections(vertx, malformed);
     ServerClient servers =
@@ -184,6 +191,18 @@
         .onSuccess(bound -> driver.run(this::startDecisions));
   }
 
+  private void onTurn(Duration turn, int handled, Duration longestEvent) {
+    metrics.onTurn(turn);
+    if (turn.compareTo(LONG_TURN) >= 0) {
+      events.log(
+          new RouterEvent.LongTurn(
+              turn.toNanos() / NANOS_PER_MILLI,
+              handled,
+              longestEvent.toNanos() / NANOS_PER_MILLI,
+              router.coordinator().inProgress()));
+    }
+  }
+
   /** Completes with the number of made-up searches when the process is warm. */
   public Future<Integer> whenWarm() {
     return warm.future();
