--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/AttemptSender.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/AttemptSender.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.SetMultimap;
 import io.arrowarch.core.event.EventLog;
 import io.arrowarch.core.event.RouterEvent;
+import io.arrowarch.core.intake.NewWork;
 import io.arrowarch.core.server.AttemptVerdict;
 import io.arrowarch.core.server.ServerChooser;
 import io.arrowarch.core.server.ServerDirectory;
@@ -47,11 +48,11 @@
   private final SuspectRequests suspects;
   private final EventLog events;
   private final ToIntFunction<String> connectionShare;
-  private final WorkQueue work;
+  private final NewWork newWork;
   private final Map<Long, InFlightAttempt> inFlight = new HashMap<>();
   private final SetMultimap<String, WaitingPart> waitingParts = LinkedHashMultimap.create();
 
-  /** Services whose waiting parts a submitted task will start. */
+  /** Services whose waiting parts will be started. */
   private final Set<String> servicesToStart = new HashSet<>();
 
   private long nextNumber = 1;
@@ -73,7 +74,7 @@
       SuspectRequests suspects,
       EventLog events,
       ToIntFunction<String> connectionShare,
-      WorkQueue work) {
+      NewWork newWork) {
     this.clock = clock;
     this.timers = timers;
     this.directory = directory;
@@ -85,7 +86,7 @@
     this.suspects = suspects;
     this.events = events;
     this.connectionShare = connectionShare;
-    this.work = work;
+    this.newWork = newWork;
   }
 
   ForwardOptions options() {
@@ -296,16 +297,17 @@
   }
 
   /**
-   * Starts parts that wait for a connection. A request that is started may end at once and free
-   * connections in turn, so this is a task and is never run inside itself.
+   * Starts parts that wait for a connection, once the router has handled what has arrived: the
+   * callers of some may have left.
    */
   private void startWaitingParts(String service) {
     if (waitingParts.containsKey(service) && servicesToStart.add(service)) {
-      work.execute(
+      newWork.add(
           () -> {
             servicesToStart.remove(service);
             startWaitingPartsNow(service);
-          });
+          },
+          () -> false);
     }
   }
 
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
@@ -6,6 +6,8 @@
 import io.arrowarch.core.error.Executed;
 import io.arrowarch.core.error.QueryError;
 import io.arrowarch.core.event.EventLog;
+import io.arrowarch.core.intake.ArrivalPoll;
+import io.arrowarch.core.intake.NewWork;
 import io.arrowarch.core.peer.PeerMessage;
 import io.arrowarch.core.route.Route;
 import io.arrowarch.core.route.RouteTarget;
@@ -76,6 +78,7 @@
   private final CrashGuard crashGuard;
   private final long startNanos;
   private final RequestsInProgress inProgress = new RequestsInProgress();
+  private final NewWork newWork;
   private final WorkQueue work = new WorkQueue();
   private final RouteStates routeStates;
   private Optional<RoutingConfiguration> configuration = Optional.empty();
@@ -83,6 +86,7 @@
   /**
    * Creates a coordinator without a configuration.
    *
+   * @param arrivals tells when what has arrived is handled, so that new work may begin
    * @param group the routers that share servers and budgets, as known to this one
    * @param viewAge upper bound of the age of this router's view of configuration and servers; empty
    *     before there is a view
@@ -91,6 +95,7 @@
       ForwardOptions options,
       RouterClock clock,
       TimerQueue timers,
+      ArrivalPoll arrivals,
       RandomGenerator random,
       ServerDirectory directory,
       ServerTransport transport,
@@ -104,6 +109,7 @@
     this.directory = directory;
     this.events = events;
     this.startNanos = clock.nanoTime();
+    this.newWork = new NewWork(clock, arrivals);
     this.routeStates = new RouteStates(random);
     this.refusals = new Refusals(this::versionInForce, viewAge, random, events);
     this.held = new HeldRequests(clock, timers, options.maximumRequests(), this::refuseHeld);
@@ -173,7 +179,7 @@
             suspects,
             events,
             shares::share,
-            work);
+            newWork);
   }
 
   /** Puts a configuration in force. Requests in progress keep the one they started with. */
@@ -489,6 +495,7 @@
             clock,
             timers,
             events,
+            newWork,
             work,
             sink);
     inProgress.add(execution);
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
@@ -6,6 +6,7 @@
 import io.arrowarch.core.error.QueryError;
 import io.arrowarch.core.event.EventLog;
 import io.arrowarch.core.forward.PartProgress.OpenAttempt;
+import io.arrowarch.core.intake.NewWork;
 import io.arrowarch.core.route.Route;
 import io.arrowarch.core.route.RouteTarget;
 import io.arrowarch.core.server.ServerState;
@@ -42,6 +43,7 @@
   private final RouterClock clock;
   private final TimerQueue timers;
   private final RequestLog log;
+  private final NewWork newWork;
   private final WorkQueue work;
   private final Consumer<Either<QueryError, ForwardedAnswer>> callback;
   private final Hedging hedging;
@@ -67,6 +69,7 @@
       RouterClock clock,
       TimerQueue timers,
       EventLog events,
+      NewWork newWork,
       WorkQueue work,
       Consumer<Either<QueryError, ForwardedAnswer>> callback) {
     this.request = request;
@@ -87,11 +90,13 @@
     this.clock = clock;
     this.timers = timers;
     this.log = new RequestLog(request, route, version, times, monitor, clock, events);
+    this.newWork = newWork;
     this.work = work;
     this.callback = callback;
     this.delegatedParts = new DelegatedParts(this, parts);
     this.hedging =
-        new Hedging(this, route, routeState, times.objectiveNanos(), parts, sender, clock, timers);
+        new Hedging(
+            this, route, routeState, times.objectiveNanos(), parts, sender, clock, timers, newWork);
   }
 
   /** Sets an action that runs once, after the final answer or the cancellation. */
@@ -169,11 +174,23 @@
     routeState.latencies().record(nanos, nowNanos);
   }
 
+  /** Begins the request once the router has handled what has arrived. */
+  void start() {
+    started = true;
+    ownTimers.add(timers.schedule(times.responseDeadlineNanos(), this::onResponseDeadline));
+    if (isSearch()) {
+      ownTimers.add(timers.schedule(times.attemptDeadlineNanos(), this::onAttemptDeadline));
+    }
+    if (sender.options().has(Mechanism.PARTIAL_ANSWERS)) {
+      ownTimers.add(timers.schedule(times.objectiveNanos(), this::onObjective));
+    }
+    newWork.add(this::begin, this::isFinished);
+  }
+
   /**
    * Delegates parts to other routers and sends first attempts of the rest, or refuses the request.
    */
-  void start() {
-    started = true;
+  private void begin() {
     if (route.target() instanceof RouteTarget.AllShards search) {
       delegate(search.services());
     }
@@ -183,13 +200,6 @@
       finishWithError(ErrorKind.NOTHING_SELECTED, "too few services have a usable server");
       return;
     }
-    ownTimers.add(timers.schedule(times.responseDeadlineNanos(), this::onResponseDeadline));
-    if (isSearch()) {
-      ownTimers.add(timers.schedule(times.attemptDeadlineNanos(), this::onAttemptDeadline));
-    }
-    if (sender.options().has(Mechanism.PARTIAL_ANSWERS)) {
-      ownTimers.add(timers.schedule(times.objectiveNanos(), this::onObjective));
-    }
     startFirst(own);
   }
 
@@ -217,20 +227,14 @@
         new Delegator.Search(request, route, version, times, shards, monitor.isAnswered()));
   }
 
-  /** Sends the first attempts of parts that this router runs itself, and starts hedging. */
+  /** Sends the first attempts of parts that this router runs itself, and then starts hedging. */
   void startFirst(List<PartProgress> first) {
-    if (first.isEmpty()) {
-      return;
-    }
-    long nowNanos = clock.nanoTime();
-    for (PartProgress part : first) {
-      sender.budgets().onRequest(part.service(), nowNanos);
-      startPart(part);
-      if (finished) {
-        return;
-      }
-    }
-    hedging.start();
+    newWork.add(new FirstAttempts(this, hedging, first));
+  }
+
+  void startFirstAttempt(PartProgress part) {
+    sender.budgets().onRequest(part.service(), clock.nanoTime());
+    startPart(part);
   }
 
   /**
@@ -312,7 +316,7 @@
 
   private void settlePostponed() {
     if (!finished) {
-      postponed.settle(this::startPart, this::giveUp);
+      postponed.settle(this::startLater, this::giveUp);
     }
   }
 
@@ -350,6 +354,10 @@
     settlePostponed();
   }
 
+  private void startLater(PartProgress part) {
+    newWork.add(() -> startPart(part), () -> finished || part.isSettled());
+  }
+
   private void startPart(PartProgress part) {
     if (times.attemptDeadlineNanos() - clock.nanoTime() < MINIMUM_TIME_LEFT_NANOS) {
       giveUp(part);
@@ -392,7 +400,7 @@
         AfterFailure.of(part, mayHaveRun, route, selectionCriteria(), sender, clock.nanoTime());
     log.attemptFailed(part, attempt, outcome, status, next.logName());
     if (next == AfterFailure.RETRY) {
-      startPart(part);
+      startLater(part);
     } else if (next != AfterFailure.WAIT) {
       giveUp(part);
     }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardingRouter.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardingRouter.java
@@ -8,6 +8,7 @@
 import io.arrowarch.core.feed.FeedListener;
 import io.arrowarch.core.feed.FeedTransport;
 import io.arrowarch.core.feed.StoreFollower;
+import io.arrowarch.core.intake.ArrivalPoll;
 import io.arrowarch.core.route.RoutingConfiguration;
 import io.arrowarch.core.route.ServiceSettings;
 import io.arrowarch.core.server.ServerDirectory;
@@ -57,12 +58,14 @@
   /**
    * Creates a router with no configuration and no servers. {@link #start} begins to read the store.
    *
+   * @param arrivals tells when what has arrived is handled, so that new work may begin
    * @param group the routers that share the servers with this one
    */
   public ForwardingRouter(
       ForwardOptions options,
       RouterClock clock,
       TimerQueue timers,
+      ArrivalPoll arrivals,
       RandomGenerator random,
       ServerTransport servers,
       FeedTransport feed,
@@ -87,6 +90,7 @@
             options,
             clock,
             timers,
+            arrivals,
             random,
             directory,
             servers,
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/Hedging.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/Hedging.java
@@ -1,5 +1,6 @@
 package io.arrowarch.core.forward;
 
+import io.arrowarch.core.intake.NewWork;
 import io.arrowarch.core.route.Route;
 import io.arrowarch.core.server.ServerState;
 import io.arrowarch.core.time.RouterClock;
@@ -36,6 +37,7 @@
   private final AttemptSender sender;
   private final RouterClock clock;
   private final TimerQueue timers;
+  private final NewWork newWork;
   private Optional<TimerQueue.Timer> nextCheck = Optional.empty();
 
   /**
@@ -52,7 +54,8 @@
       List<PartProgress> parts,
       AttemptSender sender,
       RouterClock clock,
-      TimerQueue timers) {
+      TimerQueue timers,
+      NewWork newWork) {
     this.execution = execution;
     this.route = route;
     this.routeState = routeState;
@@ -61,6 +64,7 @@
     this.sender = sender;
     this.clock = clock;
     this.timers = timers;
+    this.newWork = newWork;
   }
 
   /**
@@ -82,10 +86,14 @@
   private void scheduleCheck(long dueNanos) {
     stop();
     if (dueNanos < objectiveNanos || !execution.hasMinimumCoverage()) {
-      nextCheck = Optional.of(timers.schedule(dueNanos, this::check));
+      nextCheck = Optional.of(timers.schedule(dueNanos, this::checkLater));
     }
   }
 
+  private void checkLater() {
+    newWork.add(this::check, execution::isFinished);
+  }
+
   private void check() {
     long nowNanos = clock.nanoTime();
     long delay = routeState.hedgeDelayNanos(route);
--- a/arrowarch-core/src/main/java/io/arrowarch/core/intake/ArrivalTimes.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/intake/ArrivalTimes.java
@@ -58,6 +58,11 @@
     return pollExpected;
   }
 
+  /** Time since the poll that was reported last. */
+  public Duration sincePoll(long nowNanos) {
+    return Duration.ofNanos(nowNanos - pollNanos);
+  }
+
   /** Upper bound of the time for which what is handled now has waited in its socket. */
   public Duration longestWait(long nowNanos) {
     return pollExpected ? Duration.ofNanos(nowNanos - earliestNanos) : Duration.ZERO;
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/ForwardFixture.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/ForwardFixture.java
@@ -7,6 +7,8 @@
 import io.arrowarch.core.error.QueryError;
 import io.arrowarch.core.event.EventLog;
 import io.arrowarch.core.feed.FeedBounds;
+import io.arrowarch.core.intake.ArrivalPoll;
+import io.arrowarch.core.intake.NoArrivals;
 import io.arrowarch.core.route.CallerLimits;
 import io.arrowarch.core.route.Route;
 import io.arrowarch.core.route.RouteTarget;
@@ -115,6 +117,23 @@
       RouterGroup group,
       int maximumRequests,
       Consumer<ServerAttempt> onSent) {
+    this(clock, id, zone, group, maximumRequests, new NoArrivals(), onSent);
+  }
+
+  /**
+   * Creates one of several routers that share a clock.
+   *
+   * @param arrivals tells when what has arrived is handled
+   * @param onSent also receives each attempt that is sent
+   */
+  ForwardFixture(
+      FakeClock clock,
+      String id,
+      String zone,
+      RouterGroup group,
+      int maximumRequests,
+      ArrivalPoll arrivals,
+      Consumer<ServerAttempt> onSent) {
     this.clock = clock;
     this.onSent = onSent;
     coordinator =
@@ -134,6 +153,7 @@
                 ImmutableSet.of()),
             clock,
             timers,
+            arrivals,
             new Random(1),
             directory,
             this,
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/ReadinessTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/ReadinessTest.java
@@ -12,6 +12,7 @@
 import io.arrowarch.core.feed.FeedEntry;
 import io.arrowarch.core.feed.FeedItem;
 import io.arrowarch.core.feed.FeedTransport;
+import io.arrowarch.core.intake.NoArrivals;
 import io.arrowarch.core.peer.LiveRouter;
 import io.arrowarch.core.route.CallerLimits;
 import io.arrowarch.core.route.RoutingConfiguration;
@@ -46,6 +47,7 @@
             options(),
             clock,
             new TimerQueue(),
+            new NoArrivals(),
             new Random(1),
             new ForwardFixture(),
             new SilentStore(),
--- a/arrowarch-node/src/main/java/io/arrowarch/node/EventLoopDriver.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/EventLoopDriver.java
@@ -1,21 +1,32 @@
 package io.arrowarch.node;
 
 import com.google.common.flogger.FluentLogger;
+import io.arrowarch.core.intake.ArrivalPoll;
 import io.arrowarch.core.intake.ArrivalTimes;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.OptionalLong;
+import java.util.Queue;
 import java.util.function.Supplier;
 
 /**
  * Runs decisions on one event loop: every call to them goes through {@link #run}, which afterwards
  * arms the one Vert.x timer that their next timer needs.
  */
-public final class EventLoopDriver {
+public final class EventLoopDriver implements ArrivalPoll {
   private static final long NO_TIMER = -1;
   private static final long NANOS_PER_MILLI = 1_000_000;
 
+  /**
+   * If it takes this long to handle what a poll has found, there is another poll before new work.
+   */
+  private static final Duration LONG_POLL = Duration.ofMillis(20);
+
+  /** Bounds how long new work waits for a loop that is never done with what arrives. */
+  private static final int MAXIMUM_LONG_POLLS = 3;
+
   private final Vertx vertx;
   private final Context context;
   private final Runnable runTimers;
@@ -23,6 +34,14 @@
   private final LoopTurns turns;
   private final SocketPolls polls;
   private final ArrivalTimes arrivals = new ArrivalTimes();
+
+  /** Tasks that were submitted since the last poll began, and wait for the next one. */
+  private final Queue<Runnable> afterNextPoll = new ArrayDeque<>();
+
+  /** Tasks that wait until what the last poll found is handled. */
+  private final Queue<Runnable> afterThisPoll = new ArrayDeque<>();
+
+  private int longPolls;
   private int eventsInTurn;
   private long longestEventNanos;
   private long vertxTimer = NO_TIMER;
@@ -85,6 +104,13 @@
     return wait;
   }
 
+  /** To be called on the event loop. */
+  @Override
+  public void afterArrivals(Runnable task) {
+    afterNextPoll.add(task);
+    onEvent(System.nanoTime());
+  }
+
   private void onEvent(long nowNanos) {
     if (arrivals.onEvent(nowNanos)) {
       awaitPoll();
@@ -100,14 +126,33 @@
     turns.onTurn(turn, eventsInTurn, Duration.ofNanos(longestEventNanos));
     eventsInTurn = 0;
     longestEventNanos = 0;
+    afterThisPoll.addAll(afterNextPoll);
+    afterNextPoll.clear();
   }
 
   private void onPolled() {
+    long nowNanos = System.nanoTime();
+    if (!afterThisPoll.isEmpty()
+        && arrivals.sincePoll(nowNanos).compareTo(LONG_POLL) >= 0
+        && longPolls < MAXIMUM_LONG_POLLS) {
+      // Much may have arrived while what the poll found was handled.
+      longPolls++;
+      onEvent(nowNanos);
+    } else {
+      longPolls = 0;
+      runTasks();
+    }
     if (arrivals.onPolled()) {
       awaitPoll();
     }
   }
 
+  private void runTasks() {
+    while (!afterThisPoll.isEmpty()) {
+      runAndArm(afterThisPoll.remove());
+    }
+  }
+
   private void runAndArm(Runnable task) {
     long startNanos = System.nanoTime();
     onEvent(startNanos);
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardWarmUp.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardWarmUp.java
@@ -109,6 +109,7 @@
             options,
             new SystemClock(),
             timers,
+            driver,
             RandomGenerator.getDefault(),
             servers,
             new SilentFeed(),
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ForwardingNode.java
@@ -155,6 +155,7 @@
             settings.options(),
             clock,
             timers,
+            driver,
             random,
             servers,
             store,
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/WarmUpOrigin.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/WarmUpOrigin.java
@@ -73,6 +73,7 @@
             options,
             new SystemClock(),
             timers,
+            driver,
             RandomGenerator.getDefault(),
             servers,
             new ForwardWarmUp.SilentFeed(),
--- a/arrowarch-node/src/test/java/io/arrowarch/node/forward/DelegateClientTest.java
+++ b/arrowarch-node/src/test/java/io/arrowarch/node/forward/DelegateClientTest.java
@@ -128,6 +128,7 @@
         IdleOptions.OPTIONS,
         new SystemClock(),
         new TimerQueue(),
+        Runnable::run,
         new Random(1),
         new ServerDirectory(TIME_LEFT),
         new IdleOptions.NoServers(),
--- a/arrowarch-node/src/test/java/io/arrowarch/node/forward/StoreClientTest.java
+++ b/arrowarch-node/src/test/java/io/arrowarch/node/forward/StoreClientTest.java
@@ -159,6 +159,7 @@
             IdleOptions.OPTIONS,
             new SystemClock(),
             new TimerQueue(),
+            Runnable::run,
             new Random(1),
             new IdleOptions.NoServers(),
             new ForwardWarmUp.SilentFeed(),
--- a/arrowarch-node/src/test/java/io/arrowarch/node/forward/TornStoreAnswerTest.java
+++ b/arrowarch-node/src/test/java/io/arrowarch/node/forward/TornStoreAnswerTest.java
@@ -180,6 +180,7 @@
         IdleOptions.OPTIONS,
         new SystemClock(),
         new TimerQueue(),
+        Runnable::run,
         new Random(1),
         new IdleOptions.NoServers(),
         new ForwardWarmUp.SilentFeed(),
