Deadlines and time-outs count from the arrival of a request

Cause: a request was as old as the moment at which it was read.

Change: the driver bounds how long a request lay unread; deadlines and the time-out of its route count from the earliest possible arrival, at the router that takes it and at a gatherer. The objective counts from half of that, the average: it is a decision by value, not a promise.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
@@ -442,6 +442,7 @@
         RequestTimes.of(
             route,
             clock.nanoTime(),
+            request.unread(),
             timeLeft,
             spentBefore(request, route, state),
             route.target() instanceof RouteTarget.AllShards,
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/RequestTimes.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/RequestTimes.java
@@ -4,8 +4,11 @@
 import java.time.Duration;
 
 /**
- * The points in time of one request, on the router's monotonic clock.
+ * The points in time of one request, on the router's monotonic clock. A request may have waited
+ * unread before it was received. Deadlines allow for the longest time that is possible, since they
+ * are promises; the objective allows for half of that, which is what it has waited on average.
  *
+ * @param arrivalNanos when it was received
  * @param objectiveNanos when an answer must be sent to reach the caller with its full value
  * @param responseDeadlineNanos latest time at which the caller gets its final answer
  * @param attemptDeadlineNanos when servers should stop
@@ -48,7 +51,8 @@
   /**
    * Computes the times of a request.
    *
-   * @param timeLeft how long the caller waits from the arrival on
+   * @param unread upper bound of the time for which the request waited before the arrival
+   * @param timeLeft how long the caller waits from when it sent the request
    * @param spent time to deduct from the objective: the time since the caller's first try, the
    *     round trip of a new connection, and the reserve for delays of this router
    * @param search whether the request is a search, whose parts are of no use much later than its
@@ -58,6 +62,7 @@
   static RequestTimes of(
       Route route,
       long arrivalNanos,
+      Duration unread,
       Duration timeLeft,
       Duration spent,
       boolean search,
@@ -65,14 +70,18 @@
     Duration objective = route.objective();
     long deliveryReserveNanos =
         DELIVERY_RESERVE.toNanos() + (long) (DELIVERY_RESERVE_FRACTION * objective.toNanos());
-    long objectiveNanos = arrivalNanos + objective.minus(spent).toNanos() - deliveryReserveNanos;
+    long earliestNanos = arrivalNanos - unread.toNanos();
+    long objectiveNanos =
+        averageNanos(arrivalNanos, unread)
+            + objective.minus(spent).toNanos()
+            - deliveryReserveNanos;
     Duration callerWait = timeLeft.minus(DEADLINE_MARGIN);
     Duration maximumWait = callerWait.compareTo(route.timeout()) < 0 ? callerWait : route.timeout();
-    long responseDeadlineNanos = arrivalNanos + Math.max(1, maximumWait.toNanos());
+    long responseDeadlineNanos = earliestNanos + Math.max(1, maximumWait.toNanos());
     long attemptNanos = attemptNanos(MINIMUM_ATTEMPT_OBJECTIVES, objective, maximumWait);
     long attemptDeadline =
         search
-            ? Math.min(responseDeadlineNanos, arrivalNanos + attemptNanos)
+            ? Math.min(responseDeadlineNanos, earliestNanos + attemptNanos)
             : responseDeadlineNanos;
     Duration retryAfter = retryAfter(objective, random);
     return new RequestTimes(
@@ -82,8 +91,10 @@
   /** Computes the times of a search that another router has delegated to this one. */
   static RequestTimes ofDelegated(
       Route route, long arrivalNanos, DelegatedSearch search, double random) {
-    long responseDeadlineNanos = arrivalNanos + Math.max(1, search.timeLeft().toNanos());
-    long objectiveNanos = arrivalNanos + search.objectiveLeft().toNanos();
+    Duration unread = search.request().unread();
+    long earliestNanos = arrivalNanos - unread.toNanos();
+    long responseDeadlineNanos = earliestNanos + Math.max(1, search.timeLeft().toNanos());
+    long objectiveNanos = averageNanos(arrivalNanos, unread) + search.objectiveLeft().toNanos();
     long attemptNanos =
         attemptNanos(MINIMUM_ATTEMPT_OBJECTIVES - 1, route.objective(), search.timeLeft());
     long attemptDeadline =
@@ -96,6 +107,11 @@
         retryAfter(route.objective(), random));
   }
 
+  /** When the request arrived if it has waited for half of the longest time that is possible. */
+  private static long averageNanos(long arrivalNanos, Duration unread) {
+    return arrivalNanos - unread.toNanos() / 2;
+  }
+
   private static long attemptNanos(int objectives, Duration objective, Duration maximumWait) {
     return Math.max(
         objectives * objective.toNanos(), (long) (SEARCH_ATTEMPT_FRACTION * maximumWait.toNanos()));
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/ForwardFixture.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/ForwardFixture.java
@@ -221,6 +221,12 @@
     return submit("request-" + nextRequest++, "/path", timeLeft);
   }
 
+  /** Submits a request that may have waited in its socket. */
+  ForwardHandle submitUnread(Duration timeLeft, Duration unread) {
+    return coordinator.submit(
+        request("request-" + nextRequest++, "/path", timeLeft).withUnread(unread), outcomes::add);
+  }
+
   ForwardHandle submit(String id, String path, Duration timeLeft) {
     return submit(id, path, timeLeft, outcomes::add);
   }
@@ -230,17 +236,12 @@
       String path,
       Duration timeLeft,
       Consumer<Either<QueryError, ForwardedAnswer>> sink) {
-    ForwardedRequest request =
-        new ForwardedRequest(
-            id,
-            Optional.of(timeLeft),
-            "GET",
-            "host",
-            path,
-            caller,
-            ImmutableList.of(),
-            Payload.EMPTY);
-    return coordinator.submit(request, sink);
+    return coordinator.submit(request(id, path, timeLeft), sink);
+  }
+
+  private ForwardedRequest request(String id, String path, Duration timeLeft) {
+    return new ForwardedRequest(
+        id, Optional.of(timeLeft), "GET", "host", path, caller, ImmutableList.of(), Payload.EMPTY);
   }
 
   void advance(Duration length) {
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/CallerServer.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/CallerServer.java
@@ -185,7 +185,8 @@
     }
 
     private ForwardedRequest ofConnection(ForwardedRequest decoded) {
-      ForwardedRequest read = decoded.withUnread(unread);
+      Duration reading = Duration.ofNanos(System.nanoTime() - startNanos);
+      ForwardedRequest read = decoded.withUnread(unread.plus(reading));
       return isOnNewConnection() ? read.onNewConnection() : read;
     }
 
