A canary that has not been sent ends when its caller leaves

A suspected request is tried on one server first, and that attempt lingers for 400 ms after its caller has left, since its outcome concerns others. On a late router the canary of a caller that had left already was sent, and lingered. It is cancelled now while no server can have received any of it.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/CrashGuard.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/CrashGuard.java
@@ -166,6 +166,12 @@
         running.cancel();
         return;
       }
+      if (!running.mayHaveRun()) {
+        ended = true;
+        running.cancel();
+        suspects.onCanaryEnded(key, false);
+        return;
+      }
       callerLeft = true;
       timers.schedule(clock.nanoTime() + CANARY_LINGER.toNanos(), this::giveUp);
     }
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardCoordinator.java
@@ -506,7 +506,7 @@
     } else {
       execution.start();
     }
-    return execution::cancel;
+    return execution;
   }
 
   /**
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardExecution.java
@@ -21,7 +21,7 @@
 import java.util.function.Consumer;
 
 /** Runs one request from its admission to its final answer. */
-final class ForwardExecution {
+final class ForwardExecution implements ForwardHandle {
   /**
    * A part is given up instead of being sent if less time is left until the attempt deadline: the
    * network round trip alone takes this long.
@@ -293,7 +293,8 @@
   }
 
   /** Cancels the attempts of a request whose caller has disconnected. */
-  void cancel() {
+  @Override
+  public void cancel() {
     if (finished) {
       return;
     }
@@ -303,6 +304,11 @@
     onEnd.run();
   }
 
+  @Override
+  public boolean mayHaveRun() {
+    return !tally.isProvenNotRun();
+  }
+
   /** Starts a part that waited for a free connection. */
   void startWaitingPart(PartProgress part) {
     startPart(part);
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardHandle.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/ForwardHandle.java
@@ -8,6 +8,11 @@
    */
   void cancel();
 
+  /** Whether a server may have received any of the request. */
+  default boolean mayHaveRun() {
+    return true;
+  }
+
   /** Handle of a request that already has its answer. */
   ForwardHandle NONE = () -> {};
 }
