--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/ForwardFixture.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/ForwardFixture.java
@@ -239,7 +239,8 @@
     return coordinator.submit(request(id, path, timeLeft), sink);
   }
 
-  private ForwardedRequest request(String id, String path, Duration timeLeft) {
+  /** A request that has not been submitted. */
+  ForwardedRequest request(String id, String path, Duration timeLeft) {
     return new ForwardedRequest(
         id, Optional.of(timeLeft), "GET", "host", path, caller, ImmutableList.of(), Payload.EMPTY);
   }
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/VirtualLoop.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/VirtualLoop.java
@@ -2,6 +2,7 @@
 
 import io.arrowarch.core.FakeClock;
 import io.arrowarch.core.intake.ArrivalPoll;
+import io.arrowarch.core.intake.ArrivalTimes;
 import io.arrowarch.core.time.TimerQueue;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -19,7 +20,9 @@
   private final FakeClock clock;
   private final TimerQueue timers;
   private final List<Arrival> arrivals = new ArrayList<>();
+  private final ArrivalTimes times = new ArrivalTimes();
   private List<Runnable> tasks = new ArrayList<>();
+  private boolean awaitsPoll;
 
   private record Arrival(String socket, long atNanos, Runnable event) {}
 
@@ -36,6 +39,18 @@
   @Override
   public void afterArrivals(Runnable task) {
     tasks.add(task);
+    onEvent();
+  }
+
+  /** Upper bound of the time for which what is handled now has waited in its socket. */
+  Duration longestWait() {
+    Duration wait = times.longestWait(clock.nanoTime());
+    onEvent();
+    return wait;
+  }
+
+  private void onEvent() {
+    awaitsPoll |= times.onEvent(clock.nanoTime());
   }
 
   /** Runs until a time, or until what began before it is done. */
@@ -43,9 +58,15 @@
     while (clock.nanoTime() < endNanos) {
       List<Runnable> due = tasks;
       tasks = new ArrayList<>();
+      if (awaitsPoll) {
+        Duration unused = times.onPoll(clock.nanoTime());
+      }
       boolean polled = poll();
       timers.runDue(clock.nanoTime());
-      due.forEach(Runnable::run);
+      if (awaitsPoll) {
+        awaitsPoll = times.onPolled();
+      }
+      due.forEach(this::run);
       if (!polled && due.isEmpty()) {
         sleep(endNanos);
       }
@@ -62,10 +83,15 @@
       }
     }
     arrivals.removeAll(found);
-    found.forEach(arrival -> arrival.event().run());
+    found.forEach(arrival -> run(arrival.event()));
     return !found.isEmpty();
   }
 
+  private void run(Runnable event) {
+    onEvent();
+    event.run();
+  }
+
   private void sleep(long endNanos) {
     long next = endNanos;
     for (Arrival arrival : arrivals) {
