An attempt is written after what has arrived while its connection was opened

A router that was late saw in one poll that the connections of a search were open, and that its caller had left, and wrote the requests first.

The request is written after the next poll. Tasks that wait for a poll run for 5 ms at most before another one.

ServerClientTest on real sockets: red with the request written at once, green with this change.

--- a/arrowarch-node/src/main/java/io/arrowarch/node/EventLoopDriver.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/EventLoopDriver.java
@@ -24,6 +24,9 @@
    */
   private static final Duration LONG_POLL = Duration.ofMillis(20);
 
+  /** After this time there is another poll before further tasks. */
+  private static final Duration LONGEST_TASK_RUN = Duration.ofMillis(5);
+
   /** Bounds how long new work waits for a loop that is never done with what arrives. */
   private static final int MAXIMUM_LONG_POLLS = 3;
 
@@ -140,15 +143,19 @@
       onEvent(nowNanos);
     } else {
       longPolls = 0;
-      runTasks();
+      runTasks(nowNanos);
     }
     if (arrivals.onPolled()) {
       awaitPoll();
     }
   }
 
-  private void runTasks() {
+  private void runTasks(long startNanos) {
     while (!afterThisPoll.isEmpty()) {
+      if (System.nanoTime() - startNanos >= LONGEST_TASK_RUN.toNanos()) {
+        onEvent(startNanos);
+        return;
+      }
       runAndArm(afterThisPoll.remove());
     }
   }
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ServerClient.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ServerClient.java
@@ -96,7 +96,12 @@
       return writing;
     }
 
+    /** The caller may have left while the connection was being opened. */
     private void onOpened(ServerConnection opened) {
+      driver.afterArrivals(() -> writeUnlessEnded(opened));
+    }
+
+    private void writeUnlessEnded(ServerConnection opened) {
       if (ended) {
         connections.giveBack(attempt.server().id(), opened);
       } else {
