--- a/arrowarch-core/src/main/java/io/arrowarch/core/intake/NewWork.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/intake/NewWork.java
@@ -24,8 +24,8 @@
   private final Queue<Item> ready = new ArrayDeque<>();
 
   /**
-   * Work that was added when the next slice was scheduled, which may come before a close behind it
-   * is read.
+   * Work that was added after the next slice was scheduled. It waits for the slice after that one,
+   * since the next may run before a close that arrived behind the work is read.
    */
   private final Queue<Item> added = new ArrayDeque<>();
 
