Tests: a search is handed on, or a part sent again, before the close is read

The test has the order of the fault now, timers of the virtual loop run after each event as in a real one, and a search of a caller who has left must not be handed on. The product is not changed.

--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/LateRouterTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/LateRouterTest.java
@@ -98,7 +98,7 @@
   /** Failures that were read before the close caused retries, each of which was sent at once. */
   @Test
   public void retriesAreNotSentForACallerWhoseCloseStandsBehindTheFailures() {
-    callerComesAndLeaves(Duration.ZERO);
+    loop.arrive("caller", startNanos, () -> handle = Optional.of(router.submit()));
     loop.runUntil(startNanos + Duration.ofMillis(20).toNanos());
     int first = router.sent.size();
     loop.arrive("other", clock.nanoTime(), () -> clock.advance(Duration.ofMillis(600)));
@@ -108,6 +108,7 @@
           clock.nanoTime() + 1,
           () -> router.fail(attempt, ServerFailure.UNREACHABLE));
     }
+    loop.arrive("caller", startNanos + CALLER_STAYS.toNanos(), () -> handle.get().cancel());
     run();
 
     assertThat(first).isEqualTo(SHARDS);
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/LeavingCallerTest.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/LeavingCallerTest.java
@@ -93,6 +93,25 @@
     assertThat(routers.cancelled).containsExactly(1L);
   }
 
+  /** A router that was late handed a search on before it read the close behind it. */
+  @Test
+  public void aSearchIsNotHandedOnForACallerWhoHasLeft() {
+    polls.clear();
+    RouterPair others = new RouterPair();
+    ForwardFixture router =
+        new ForwardFixture(
+            others.clock, "router-c", "zone-a", others, 100, polls::add, attempt -> {});
+    router.route(true, RouterPair.SHARDS.toArray(new String[0]));
+    router.advance(AGE);
+    router.submit().cancel();
+    runPolls();
+    assertThat(others.cancelled).isEmpty();
+    router.submit();
+    runPolls();
+
+    assertThat(others.underWay).hasSize(1);
+  }
+
   /** A canary goes on for a while without its caller, but not one that has not been sent. */
   @Test
   public void aCanaryThatHasNotBeenSentIsCancelledAtOnce() {
--- a/arrowarch-core/src/test/java/io/arrowarch/core/forward/VirtualLoop.java
+++ b/arrowarch-core/src/test/java/io/arrowarch/core/forward/VirtualLoop.java
@@ -87,9 +87,11 @@
     return !found.isEmpty();
   }
 
+  /** Timers that are due run after each event, as a real loop runs them. */
   private void run(Runnable event) {
     onEvent();
     event.run();
+    timers.runDue(clock.nanoTime());
   }
 
   private void sleep(long endNanos) {
