Answered requests are no longer held by timers until their deadlines

What callers saw: a router that passed on large bodies ran out of heap and ended, although it had answered nearly all of them.

Cause: the timer that watches each attempt for silence was never cancelled, and a cancelled timer kept its task until it was due. Both hold the request with its body until the deadline.

Change: an attempt's timer is cancelled when the attempt ends, a cancelled timer drops its task, and cancelled timers are removed once they are most of the queue. The timer of a held request is cancelled with it.

--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/AttemptSender.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/AttemptSender.java
@@ -58,7 +58,10 @@
   private long nextNumber = 1;
 
   private record InFlightAttempt(
-      ForwardExecution execution, PartProgress part, PartProgress.OpenAttempt open) {}
+      ForwardExecution execution,
+      PartProgress part,
+      PartProgress.OpenAttempt open,
+      TimerQueue.Timer silence) {}
 
   private record WaitingPart(ForwardExecution execution, PartProgress part) {}
 
@@ -178,11 +181,13 @@
             execution.isSearch());
     PartProgress.OpenAttempt open = new PartProgress.OpenAttempt(attempt, purpose, nowNanos);
     logSent(execution, part, server, open, nowNanos);
-    inFlight.put(number, new InFlightAttempt(execution, part, open));
+    TimerQueue.Timer silence =
+        timers.schedule(
+            attempt.deadlineNanos() + SILENCE_SLACK_NANOS, () -> onSilent(number, attempt));
+    inFlight.put(number, new InFlightAttempt(execution, part, open, silence));
     part.onSent(open);
     coldServers.onSent(server, nowNanos);
     directory.onStarted(server.id(), number, nowNanos, stallReferenceNanos(execution));
-    timers.schedule(attempt.deadlineNanos() + SILENCE_SLACK_NANOS, () -> onSilent(number, attempt));
     transport.send(attempt);
   }
 
@@ -191,6 +196,8 @@
     if (ended == null) {
       return;
     }
+    // Held until it is due, it would hold the request and its body.
+    ended.silence().cancel();
     long nowNanos = clock.nanoTime();
     String server = ended.open().attempt().server().id();
     if (options.has(Mechanism.LOAD_REPORTS)) {
@@ -219,6 +226,7 @@
     if (ended == null) {
       return;
     }
+    ended.silence().cancel();
     long nowNanos = clock.nanoTime();
     String server = ended.open().attempt().server().id();
     directory.onEnded(server, number, verdictOf(failure), 0, nowNanos);
@@ -238,6 +246,7 @@
       long number = open.attempt().number();
       InFlightAttempt ended = inFlight.remove(number);
       if (ended != null) {
+        ended.silence().cancel();
         long nowNanos = clock.nanoTime();
         if (transport.cancel(open.attempt())) {
           abandon(ended);
--- a/arrowarch-core/src/main/java/io/arrowarch/core/forward/HeldRequests.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/forward/HeldRequests.java
@@ -60,8 +60,10 @@
     long expiryNanos = nowNanos + (long) (MAXIMUM_HOLD_FRACTION * timeLeft.toNanos());
     HeldRequest waiting = new HeldRequest(request, nowNanos, sink);
     held.addLast(waiting);
-    timers.schedule(Math.min(endNanos, expiryNanos), () -> refuse(waiting));
+    TimerQueue.Timer expiry =
+        timers.schedule(Math.min(endNanos, expiryNanos), () -> refuse(waiting));
     return () -> {
+      expiry.cancel();
       held.remove(waiting);
       waiting.cancel();
     };
--- a/arrowarch-core/src/main/java/io/arrowarch/core/time/TimerQueue.java
+++ b/arrowarch-core/src/main/java/io/arrowarch/core/time/TimerQueue.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Comparator;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.function.LongSupplier;
@@ -11,12 +12,16 @@
  * serialise all calls.
  */
 public final class TimerQueue {
+  /** Fewer cancelled timers than this are left where they are until they are due. */
+  private static final int FEW_CANCELLED = 64;
+
   private final PriorityQueue<Timer> timers =
       new PriorityQueue<>(
           Comparator.comparingLong((Timer timer) -> timer.dueNanos)
               .thenComparingLong(timer -> timer.sequence));
   private long nextSequence;
   private boolean running;
+  private int cancelledTimers;
 
   /** Runs {@code task} at the first {@link #runDue} at or after {@code dueNanos}. */
   public Timer schedule(long dueNanos, Runnable task) {
@@ -49,9 +54,9 @@
     long nowNanos = startNanos;
     try {
       while (isDue(nowNanos) && nowNanos - startNanos < longest.toNanos()) {
-        Timer timer = timers.poll();
-        if (!timer.cancelled) {
-          timer.task.run();
+        Optional<Runnable> task = takeFirst();
+        if (task.isPresent()) {
+          task.get().run();
           nowNanos = nanoTime.getAsLong();
         }
       }
@@ -64,30 +69,54 @@
     return !timers.isEmpty() && timers.peek().dueNanos <= nowNanos;
   }
 
+  /** Removes the first timer; its task, unless it was cancelled. */
+  private Optional<Runnable> takeFirst() {
+    Timer first = timers.remove();
+    Optional<Runnable> task = first.task;
+    if (task.isEmpty()) {
+      cancelledTimers--;
+    }
+    first.task = Optional.empty();
+    return task;
+  }
+
+  /** Cancelled timers take room until they are removed, which is long after most of them. */
+  private void removeCancelled() {
+    if (cancelledTimers > FEW_CANCELLED && cancelledTimers > timers.size() / 2) {
+      timers.removeIf(timer -> timer.task.isEmpty());
+      cancelledTimers = 0;
+    }
+  }
+
   /** The due time of the next timer; empty if there is none. */
   public OptionalLong nextDueNanos() {
-    while (!timers.isEmpty() && timers.peek().cancelled) {
-      timers.poll();
+    while (!timers.isEmpty() && timers.peek().task.isEmpty()) {
+      Optional<Runnable> unused = takeFirst();
     }
     return timers.isEmpty() ? OptionalLong.empty() : OptionalLong.of(timers.peek().dueNanos);
   }
 
   /** A scheduled task. */
-  public static final class Timer {
+  public final class Timer {
     private final long dueNanos;
     private final long sequence;
-    private final Runnable task;
-    private boolean cancelled;
+
+    /** Empty once it has run or was cancelled, so that what it uses can be collected. */
+    private Optional<Runnable> task;
 
     private Timer(long dueNanos, long sequence, Runnable task) {
       this.dueNanos = dueNanos;
       this.sequence = sequence;
-      this.task = task;
+      this.task = Optional.of(task);
     }
 
     /** Prevents the task from running; has no effect once it has run. */
     public void cancel() {
-      cancelled = true;
+      if (task.isPresent()) {
+        task = Optional.empty();
+        cancelledTimers++;
+        removeCancelled();
+      }
     }
   }
 }
