Chunks of a caller's body that come together are decoded as one

What callers saw: while a crowd sent bodies in chunks of one byte, others waited: each chunk passed the decoder, the server and the body as an object of its own, and cost far more than its bytes.

Change: the reader that stands before the decoder follows the framing already. It now passes on what has come at once as a single chunk; a single chunk is not copied. Bodies of responses are passed on as before.

--- a/arrowarch-node/src/main/java/io/arrowarch/node/http/BodyFraming.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/http/BodyFraming.java
@@ -1,57 +1,30 @@
 package io.arrowarch.node.http;
 
 import io.netty.buffer.ByteBuf;
-import java.util.Optional;
 
 /** Follows a body to its end. */
-final class BodyFraming {
-  private final Optional<ChunkedBody> chunks;
-  private long left;
-
-  private BodyFraming(Optional<ChunkedBody> chunks, long left) {
-    this.chunks = chunks;
-    this.left = left;
-  }
-
+interface BodyFraming {
+  /** A body whose length is known. */
   static BodyFraming ofLength(long bytes) {
-    return new BodyFraming(Optional.empty(), bytes);
+    return new BodyOfLength(bytes);
   }
 
+  /** A body in chunks, which are passed on as they are. */
   static BodyFraming inChunks() {
-    return new BodyFraming(Optional.of(new ChunkedBody()), 0);
+    return new BodyInChunks();
   }
 
-  boolean hasEnded() {
-    return chunks.map(ChunkedBody::hasEnded).orElse(left == 0);
+  /** A body in chunks, which are passed on in larger ones. */
+  static BodyFraming inMergedChunks() {
+    return new BodyInMergedChunks();
   }
 
+  boolean hasEnded();
+
   /**
    * Takes bytes up to the end of the body.
    *
-   * @return these bytes, which the caller owns
+   * @return the bytes to pass on, which the caller owns; empty when more bytes are needed first
    */
-  ByteBuf next(ByteBuf in) throws MalformedResponseException {
-    return chunks.isPresent() ? nextOfChunks(chunks.get(), in) : nextOfLength(in);
-  }
-
-  private ByteBuf nextOfLength(ByteBuf in) {
-    int bytes = (int) Math.min(left, in.readableBytes());
-    left -= bytes;
-    return in.readRetainedSlice(bytes);
-  }
-
-  private static ByteBuf nextOfChunks(ChunkedBody chunks, ByteBuf in)
-      throws MalformedResponseException {
-    int start = in.readerIndex();
-    while (in.isReadable() && !chunks.hasEnded()) {
-      int data = (int) Math.min(chunks.dataLeft(), in.readableBytes());
-      if (data > 0) {
-        in.skipBytes(data);
-        chunks.onData(data);
-      } else {
-        chunks.onFraming(in.readByte());
-      }
-    }
-    return in.retainedSlice(start, in.readerIndex() - start);
-  }
+  ByteBuf next(ByteBuf in) throws MalformedResponseException;
 }
--- a/arrowarch-node/src/main/java/io/arrowarch/node/http/RequestHead.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/http/RequestHead.java
@@ -73,7 +73,7 @@
   /** The body; one in chunks if the fields also give a length (RFC 9112, 6.3). */
   BodyFraming body() {
     return fields.isChunked()
-        ? BodyFraming.inChunks()
+        ? BodyFraming.inMergedChunks()
         : BodyFraming.ofLength(Math.max(0, fields.contentLength()));
   }
 
