--- a/arrowarch-cli/src/main/java/io/arrowarch/cli/ForwardCommand.java
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/ForwardCommand.java
@@ -4,6 +4,7 @@
 import com.beust.jcommander.Parameters;
 import com.google.common.collect.ImmutableList;
 import io.arrowarch.core.config.ConfigurationFault;
+import io.arrowarch.node.forward.ForwardNodeSettings;
 import io.arrowarch.node.forward.ForwardingNode;
 import io.arrowarch.node.forward.JsonEventLog;
 import io.arrowarch.platform.PlatformCallers;
@@ -64,9 +65,10 @@
   @Override
   public ExitCode run(PrintStream out, PrintStream err) throws CommandException {
     ForwardSettingsDocument document = readSettings();
+    ForwardNodeSettings settings = document.toNodeSettings();
     ForwardingNode node =
         new ForwardingNode(
-            document.toNodeSettings(),
+            settings,
             new PlatformCallers(),
             new PlatformServers(),
             new PlatformStore(),
@@ -77,7 +79,7 @@
           .onSuccess(searches -> new Thread(() -> System.exit(ExitCode.OK.code()), "exit").start());
     }
     SettingsWatcher.start(settingsFile, () -> reload(node));
-    Processes.runUntilStopped(List.of(node), node::drain);
+    Processes.runUntilStopped(List.of(node), settings.transport(), node::drain);
     return ExitCode.OK;
   }
 
--- a/arrowarch-cli/src/main/java/io/arrowarch/cli/Processes.java
+++ b/arrowarch-cli/src/main/java/io/arrowarch/cli/Processes.java
@@ -5,6 +5,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
+import io.vertx.core.transport.Transport;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -33,15 +34,29 @@
    */
   static void runUntilStopped(List<? extends Deployable> servers, LongFunction<Future<Void>> drain)
       throws CommandException {
+    runUntilStopped(servers, Transport.NIO, drain);
+  }
+
+  /**
+   * As {@link #runUntilStopped(List, LongFunction)}.
+   *
+   * @param transport how sockets are opened
+   */
+  static void runUntilStopped(
+      List<? extends Deployable> servers, Transport transport, LongFunction<Future<Void>> drain)
+      throws CommandException {
     int eventLoops = Math.min(MAXIMUM_EVENT_LOOPS, servers.size());
     Vertx vertx =
-        Vertx.vertx(
-            new VertxOptions()
-                .setEventLoopPoolSize(eventLoops)
-                .setFileSystemOptions(
-                    new FileSystemOptions()
-                        .setFileCachingEnabled(false)
-                        .setClassPathResolvingEnabled(false)));
+        Vertx.builder()
+            .withTransport(transport)
+            .with(
+                new VertxOptions()
+                    .setEventLoopPoolSize(eventLoops)
+                    .setFileSystemOptions(
+                        new FileSystemOptions()
+                            .setFileCachingEnabled(false)
+                            .setClassPathResolvingEnabled(false)))
+            .build();
     CompletableFuture<Void> deployed = new CompletableFuture<>();
     Thread stop = new Thread(() -> stop(vertx, deployed, drain), "stop");
     Runtime.getRuntime().addShutdownHook(stop);
