MaxHeaderBytes and HeaderTimeoutMs of the configuration are in force

What callers saw: a head that had begun was waited for until the idle time-out, and one of 96 KiB was taken whatever the configuration said; many of them are what a router holds for callers who send nothing more.

Cause: both limits were read and used nowhere.

Nothing of such a request has been run, and its connection had no other.

Evidence: UnfinishedHeadTest, two of three red on (no close in 20 s; not 431); the third, a connection that rests longer than that, held before.

--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/CallerConnection.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/CallerConnection.java
@@ -81,6 +81,11 @@
     return !isBusy() && isQuietFor(rest);
   }
 
+  /** Whether a head that has begun is not whole after this time. */
+  boolean hasAwaitedHeadFor(Duration time) {
+    return guard.hasAwaitedHeadFor(time);
+  }
+
   /**
    * Whether a caller that was refused while it was writing has had the time to read that: it has
    * paused, or has gone on for too long.
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/CallerServer.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/CallerServer.java
@@ -112,8 +112,7 @@
       RequestGuard.abort(connection);
       return;
     }
-    RequestGuard guard =
-        RequestGuard.install(connection, MAXIMUM_HEADER_BYTES + MAXIMUM_LINE_BYTES, holder.get());
+    RequestGuard guard = RequestGuard.install(connection, this::maximumHeadBytes, holder.get());
     connections.put(connection, new CallerConnection(connection, guard, holder.get()));
     connection.closeHandler(
         closed -> {
@@ -127,13 +126,19 @@
     closeIdle(limits.idleTimeout());
     long mostDiscarded = (long) DISCARDED_BODIES * limits.maximumBodyBytes();
     for (CallerConnection connection : ImmutableList.copyOf(connections.values())) {
-      if (connection.hasStoppedReading(limits.idleTimeout())
+      if (connection.hasAwaitedHeadFor(limits.headerTimeout())
+          || connection.hasStoppedReading(limits.idleTimeout())
           || connection.hasLingered(mostDiscarded)) {
         connection.abort();
       }
     }
   }
 
+  /** The request line is not among the header fields that are limited. */
+  private int maximumHeadBytes() {
+    return Math.min(MAXIMUM_HEADER_BYTES, limits().maximumHeaderBytes()) + MAXIMUM_LINE_BYTES;
+  }
+
   private CallerLimits limits() {
     return router.configuration().map(RoutingConfiguration::limits).orElse(CallerLimits.DEFAULT);
   }
--- a/arrowarch-node/src/main/java/io/arrowarch/node/http/RequestFraming.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/http/RequestFraming.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import java.nio.charset.StandardCharsets;
+import java.util.function.IntSupplier;
 
 /**
  * Follows the bytes of a caller from request to request. A head is given out only once it is whole
@@ -13,11 +14,15 @@
   private static final byte[] HEAD_END = "\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
   private static final byte[] LINE_END = "\r\n".getBytes(StandardCharsets.US_ASCII);
 
+  /** What the decoder behind takes. */
+  static final int LONGEST_HEAD_BYTES = 96 << 10;
+
   /** Makes the HTTP library end the connection with its answer. */
   private static final byte[] CLOSE =
       "Connection: close\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
-  private final LineBytes head;
+  private final IntSupplier maximumHeadBytes;
+  private final LineBytes head = new LineBytes(LONGEST_HEAD_BYTES);
   private Part part = Part.HEAD;
   private BodyFraming body = BodyFraming.ofLength(0);
   private boolean last;
@@ -30,8 +35,14 @@
     ENDED
   }
 
-  RequestFraming(int maximumHeadBytes) {
-    head = new LineBytes(maximumHeadBytes);
+  /**
+   * Creates a reader before its first request.
+   *
+   * @param maximumHeadBytes of a request, asked again while a head is read; at most {@link
+   *     #LONGEST_HEAD_BYTES}
+   */
+  RequestFraming(IntSupplier maximumHeadBytes) {
+    this.maximumHeadBytes = maximumHeadBytes;
   }
 
   /** Whether the bytes that are next belong to a request whose head was given out. */
@@ -74,9 +85,10 @@
 
   private ByteBuf nextHead(ByteBuf in)
       throws MalformedRequestException, TooLongHttpHeaderException {
+    int maximum = maximumHeadBytes.getAsInt();
     while (in.isReadable()) {
       byte value = in.readByte();
-      if (!head.add(value)) {
+      if (head.length() >= maximum || !head.add(value)) {
         throw new TooLongHttpHeaderException("the head is longer than " + head.length());
       }
       requireTextOrLineEnd(value);
--- a/arrowarch-node/src/main/java/io/arrowarch/node/http/RequestGuard.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/http/RequestGuard.java
@@ -23,6 +23,7 @@
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.net.impl.ConnectionBase;
 import java.time.Duration;
+import java.util.function.IntSupplier;
 
 /**
  * Stands before the HTTP decoder of a caller's connection and lets through what is well-formed, one
@@ -49,11 +50,12 @@
   private int keptBytes;
   private long discardedBytes;
   private boolean awaitsHead;
+  private long headSinceNanos;
   private boolean answering;
   private boolean discarding;
   private boolean failed;
 
-  private RequestGuard(int maximumHeadBytes, CallerAccount.Holder holder) {
+  private RequestGuard(IntSupplier maximumHeadBytes, CallerAccount.Holder holder) {
     this.framing = new RequestFraming(maximumHeadBytes);
     this.holder = holder;
   }
@@ -62,11 +64,11 @@
    * Guards a connection before its first request.
    *
    * @param connection of HTTP/1.1, from a server's connection handler
-   * @param maximumHeadBytes of a request
+   * @param maximumHeadBytes of a request, asked again while a head is read
    * @param holder takes room for what the connection keeps before it is a request
    */
   public static RequestGuard install(
-      HttpConnection connection, int maximumHeadBytes, CallerAccount.Holder holder) {
+      HttpConnection connection, IntSupplier maximumHeadBytes, CallerAccount.Holder holder) {
     Channel channel = channelOf(connection);
     ChannelPipeline pipeline = channel.pipeline();
     channel
@@ -96,6 +98,11 @@
     }
   }
 
+  /** Whether the rest of a head has not come for this long since it began. */
+  public boolean hasAwaitedHeadFor(Duration time) {
+    return awaitsHead && System.nanoTime() - headSinceNanos >= time.toNanos();
+  }
+
   /** How long the request that was given out last has waited behind another one. */
   public Duration waitedBehind() {
     return Duration.ofNanos(waitedBehindNanos);
@@ -206,6 +213,7 @@
   private void awaitHead(boolean awaits) {
     if (awaits && !awaitsHead) {
       holder.awaitCaller();
+      headSinceNanos = System.nanoTime();
     }
     awaitsHead = awaits;
   }
