Bodies are not copied on their way to servers

The buffer of an attempt now wraps the body's array, which nobody changes, so that attempts of one request share it.

Evidence: by reading; what reaches servers is compared byte by byte in CallerBytesProperties and ForwardingNodeTest, which hold.

--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/CallerExchange.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/CallerExchange.java
@@ -11,7 +11,6 @@
 import io.arrowarch.core.forward.Payload;
 import io.arrowarch.core.route.Route;
 import io.arrowarch.node.EventLoopDriver;
-import io.netty.buffer.Unpooled;
 import io.vavr.control.Either;
 import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
@@ -19,7 +18,6 @@
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
-import io.vertx.core.internal.buffer.BufferInternal;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -217,7 +215,10 @@
       }
       status = own.reply().status();
     }
-    end(status, bufferOf(payload), payload.length() > SMALL_ANSWER_BYTES ? payload.length() : 0);
+    end(
+        status,
+        PayloadBuffers.of(payload),
+        payload.length() > SMALL_ANSWER_BYTES ? payload.length() : 0);
   }
 
   private static Payload payloadOf(ForwardedAnswer answer) {
@@ -226,11 +227,6 @@
         : ((ForwardedAnswer.Merged) answer).records();
   }
 
-  /** Not copied: bodies are large. */
-  private static Buffer bufferOf(Payload payload) {
-    return BufferInternal.buffer(Unpooled.wrappedBuffer(payload.bytes()));
-  }
-
   private void answerError(QueryError error) {
     error
         .retryAfter()
--- a/arrowarch-node/src/main/java/io/arrowarch/node/forward/ServerClient.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/forward/ServerClient.java
@@ -142,7 +142,7 @@
       codec.encode(attempt, left, request.headers());
       writing = true;
       Payload body = attempt.request().body();
-      (body.length() == 0 ? request.send() : request.send(Buffer.buffer(body.bytes())))
+      (body.length() == 0 ? request.send() : request.send(PayloadBuffers.of(body)))
           .onSuccess(this::read)
           .onFailure(failure -> fail(kindOf(failure)));
     }
