Closing a connection that has ended already is no failure

A connection that has to make room is closed through the first handler of its pipeline, which a closed connection no longer has. Found by reading; no run has shown it.

--- a/arrowarch-node/src/main/java/io/arrowarch/node/http/RequestGuard.java
+++ b/arrowarch-node/src/main/java/io/arrowarch/node/http/RequestGuard.java
@@ -122,7 +122,11 @@
 
   /** Closes a connection at once, whatever is still to be written. */
   public static void abort(HttpConnection connection) {
-    ChannelFuture unused = channelOf(connection).pipeline().firstContext().close();
+    ChannelHandlerContext first = channelOf(connection).pipeline().firstContext();
+    // A connection that has been closed has no handlers any more.
+    if (first != null) {
+      ChannelFuture unused = first.close();
+    }
   }
 
   private static Channel channelOf(HttpConnection connection) {
